--- /dev/null
+++ b/agent/src/main/java/org/ibisstand/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent daemon as a library. */
+package org.ibisstand.agent;
--- /dev/null
+++ b/base/src/main/java/org/ibisstand/base/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, verdicts, error codes, clocks and prefix chains. */
+package org.ibisstand.base;
--- /dev/null
+++ b/command/src/main/java/org/ibisstand/command/package-info.java
@@ -0,0 +1,2 @@
+/** The ibisstand executable. */
+package org.ibisstand.command;
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated log as a pure state machine. */
+package org.ibisstand.consensus;
--- /dev/null
+++ b/control/src/main/java/org/ibisstand/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control daemon as a library. */
+package org.ibisstand.control;
--- /dev/null
+++ b/entry/src/main/java/org/ibisstand/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon as a library. */
+package org.ibisstand.entry;
--- /dev/null
+++ b/fakes/src/main/java/org/ibisstand/fakes/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins for engines and plain services. */
+package org.ibisstand.fakes;
--- /dev/null
+++ b/measure/src/main/java/org/ibisstand/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded measurements of the routing decisions against baselines. */
+package org.ibisstand.measure;
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routing decisions as pure functions and state machines. */
+package org.ibisstand.routing;
--- /dev/null
+++ b/settings/src/main/java/org/ibisstand/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Strict JSON settings and the configuration model. */
+package org.ibisstand.settings;
--- /dev/null
+++ b/storage/src/main/java/org/ibisstand/storage/package-info.java
@@ -0,0 +1,2 @@
+/** Durable log segments and snapshots. */
+package org.ibisstand.storage;
--- /dev/null
+++ b/wire/src/main/java/org/ibisstand/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages and connections between the processes. */
+package org.ibisstand.wire;
