Place requests by offers of few ranked candidates

An entry that picks agents by load alone recomputes shared prompts, and one that picks by hash alone piles hot prefixes on one agent.

Rendezvous ranks of three prefixes and one recent hint name the agents to ask; the round takes the cheapest offer by predicted time to first token, recomputation and delay of others. Round robin, least outstanding, two choices, prefix hash and the lighter of two ranks run through the same entry point. The first two ranks of each of 16,384 buckets are kept, so a look-up does not grow with the fleet. Ruled out: a full sort of the group for each level; it stays only for the fallback.

--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/AgentGroup.java
@@ -0,0 +1,167 @@
+package org.ibisstand.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.stream.IntStream;
+import org.ibisstand.base.AgentIdentifier;
+
+/**
+ * The agents that can serve the same work, ranked for any hash by rendezvous hashing.
+ *
+ * <p>Every process that knows the same agents ranks them alike, and an agent that joins or leaves
+ * changes only the ranks that it takes or gives up. The first two ranks are found once for each of
+ * a fixed number of buckets and kept, so that a decision costs the same for six agents and for six
+ * hundred. An instance never changes and may be used by any thread.
+ */
+public final class AgentGroup {
+    private static final int BUCKET_BITS = 14;
+    private static final int RANK_BITS = 16;
+    private static final int RANK_MASK = (1 << RANK_BITS) - 1;
+    private static final AgentGroup EMPTY = new AgentGroup(List.of());
+
+    private final List<AgentView> mAgents;
+    private final long[] mSeeds;
+    private final AtomicIntegerArray mFirstTwoRanks;
+
+    private AgentGroup(List<AgentView> agents) {
+        mAgents = agents;
+        mSeeds = agents.stream().mapToLong(view -> Hashes.ofText(view.agent().value())).toArray();
+        mFirstTwoRanks = new AtomicIntegerArray(agents.isEmpty() ? 0 : 1 << BUCKET_BITS);
+    }
+
+    /**
+     * Returns the group of the given agents.
+     *
+     * @param agents at most 65,535 agents with different names
+     */
+    public static AgentGroup of(List<AgentView> agents) {
+        if (agents.size() >= RANK_MASK) {
+            throw new IllegalArgumentException("too many agents in a group: " + agents.size());
+        }
+        return new AgentGroup(
+                agents.stream().sorted(Comparator.comparing(AgentView::agent)).toList());
+    }
+
+    /** Returns the group without agents. */
+    public static AgentGroup empty() {
+        return EMPTY;
+    }
+
+    /** Returns the number of agents. */
+    public int size() {
+        return mAgents.size();
+    }
+
+    /** Returns all agents in the order of their names. */
+    public List<AgentView> agents() {
+        return mAgents;
+    }
+
+    /**
+     * Returns one agent.
+     *
+     * @param position the place in the order of names, from zero
+     */
+    public AgentView agent(int position) {
+        return mAgents.get(position);
+    }
+
+    /**
+     * Finds an agent by its name.
+     *
+     * @param agent the name to look for
+     */
+    public Optional<AgentView> find(AgentIdentifier agent) {
+        int low = 0;
+        int high = mAgents.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            int order = mAgents.get(middle).agent().compareTo(agent);
+            if (order == 0) {
+                return Optional.of(mAgents.get(middle));
+            }
+            if (order < 0) {
+                low = middle + 1;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the agent of the first rank for a hash.
+     *
+     * @param hash a well mixed hash, such as one of a prefix chain
+     */
+    public Optional<AgentView> firstRank(long hash) {
+        return mAgents.isEmpty() ? Optional.empty() : at(firstTwoRanks(hash) & RANK_MASK);
+    }
+
+    /**
+     * Returns the agent of the second rank for a hash, if the group has two.
+     *
+     * @param hash a well mixed hash, such as one of a prefix chain
+     */
+    public Optional<AgentView> secondRank(long hash) {
+        return mAgents.isEmpty() ? Optional.empty() : at(firstTwoRanks(hash) >>> RANK_BITS);
+    }
+
+    /**
+     * Returns all agents in the order of their ranks for a hash; costs a sort of the group.
+     *
+     * @param hash a well mixed hash, such as one of a prefix chain
+     */
+    public List<AgentView> ranked(long hash) {
+        long bucket = bucketOf(hash);
+        return IntStream.range(0, mSeeds.length)
+                .boxed()
+                .sorted(Comparator.comparingLong(position -> ~score(position, bucket)))
+                .map(mAgents::get)
+                .toList();
+    }
+
+    private Optional<AgentView> at(int positionPlusOne) {
+        return positionPlusOne == 0 ? Optional.empty() : Optional.of(agent(positionPlusOne - 1));
+    }
+
+    private int firstTwoRanks(long hash) {
+        int bucket = bucketOf(hash);
+        int known = mFirstTwoRanks.getOpaque(bucket);
+        if (known != 0) {
+            return known;
+        }
+        // Threads that race here find the same ranks.
+        int found = findFirstTwoRanks(bucket);
+        mFirstTwoRanks.setOpaque(bucket, found);
+        return found;
+    }
+
+    private int findFirstTwoRanks(long bucket) {
+        int first = -1;
+        int second = -1;
+        for (int position = 0; position < mSeeds.length; position++) {
+            if (first < 0 || isAhead(position, first, bucket)) {
+                second = first;
+                first = position;
+            } else if (second < 0 || isAhead(position, second, bucket)) {
+                second = position;
+            }
+        }
+        return ((second + 1) << RANK_BITS) | (first + 1);
+    }
+
+    private boolean isAhead(int position, int other, long bucket) {
+        return score(position, bucket) > score(other, bucket);
+    }
+
+    private long score(int position, long bucket) {
+        return Hashes.mix(mSeeds[position] ^ (bucket + 1) * 0x9E3779B97F4A7C15L);
+    }
+
+    private static int bucketOf(long hash) {
+        return (int) (hash >>> (Long.SIZE - BUCKET_BITS));
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/OfferCost.java
@@ -0,0 +1,49 @@
+package org.ibisstand.routing;
+
+import org.ibisstand.base.PrefixChain;
+
+/**
+ * Weighs offers for one prompt: the predicted time to first token, the recomputation beyond its
+ * first count, and the delay put on others, all in milliseconds.
+ *
+ * @param promptBytes the length of the prompt
+ * @param pieceBytes the bytes in a piece
+ * @param recomputeWeight how often a millisecond of recomputation counts, at least one
+ */
+record OfferCost(int promptBytes, int pieceBytes, double recomputeWeight) {
+    /** Returns the weights for one prompt. */
+    static OfferCost of(PrefixChain chain, double recomputeWeight) {
+        return new OfferCost(chain.promptBytes(), chain.pieceBytes(), recomputeWeight);
+    }
+
+    /**
+     * Returns the cost of an offer.
+     *
+     * @param offer what the agent predicts
+     * @param slowness how many times longer than predicted the agent takes, at least one
+     */
+    double of(OfferAnswer offer, double slowness) {
+        double ownTime = offer.firstTokenMilliseconds() * slowness;
+        double recomputed = recomputeMilliseconds(offer) * slowness;
+        return ownTime
+                + (recomputeWeight - 1) * recomputed
+                + offer.costOnOthersMilliseconds() * slowness;
+    }
+
+    /**
+     * Returns whether an idle agent of the same rate that holds nothing would be cheaper, so that
+     * it pays to ask further agents.
+     *
+     * @param offer the best offer so far
+     * @param slowness how many times longer than predicted the agent takes, at least one
+     */
+    boolean isDear(OfferAnswer offer, double slowness) {
+        double whole = promptBytes / offer.bytesPerMillisecond();
+        return of(offer, slowness) > recomputeWeight * whole;
+    }
+
+    private double recomputeMilliseconds(OfferAnswer offer) {
+        long held = (long) offer.heldPieces() * pieceBytes;
+        return Math.max(0, promptBytes - held) / offer.bytesPerMillisecond();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementPolicy.java
@@ -0,0 +1,40 @@
+package org.ibisstand.routing;
+
+import java.time.Duration;
+
+/**
+ * A way to choose the agent for a request; all but {@link Offers} are baselines to compare with.
+ */
+public sealed interface PlacementPolicy {
+    /**
+     * Asks a few agents that may hold the prompt and takes the cheapest offer; requests without a
+     * whole piece of prompt are placed like {@link TwoChoices}.
+     *
+     * @param firstCandidates how many agents are asked at first
+     * @param allCandidates how many agents are asked at most, when the first offers are all dear
+     * @param recomputeWeight how often a millisecond of recomputation counts, at least one
+     * @param patience how long offers are waited for
+     */
+    record Offers(int firstCandidates, int allCandidates, double recomputeWeight, Duration patience)
+            implements PlacementPolicy {}
+
+    /** Takes the agents in turn. */
+    record RoundRobin() implements PlacementPolicy {}
+
+    /** Takes the agent with the fewest requests of this entry in progress. */
+    record LeastOutstanding() implements PlacementPolicy {}
+
+    /** Takes the less loaded of two random agents. */
+    record TwoChoices() implements PlacementPolicy {}
+
+    /** Takes the first rank for the deepest prefix that other prompts share. */
+    record PrefixHash() implements PlacementPolicy {}
+
+    /** Takes the less loaded of the first two ranks for the deepest shared prefix. */
+    record LighterOfTwoRanks() implements PlacementPolicy {}
+
+    /** Returns the policy that entries use. */
+    static PlacementPolicy standard() {
+        return new Offers(4, 6, 2.0, Duration.ofMillis(5));
+    }
+}
--- a/routing/src/main/java/org/ibisstand/routing/package-info.java
+++ b/routing/src/main/java/org/ibisstand/routing/package-info.java
@@ -1,2 +1,2 @@
-/** Routing decisions as pure functions and state machines. */
+/** Routing decisions as pure functions and state machines: placement, retries, hedging, limits. */
 package org.ibisstand.routing;
--- /dev/null
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementProperties.java
@@ -0,0 +1,94 @@
+package org.ibisstand.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.ibisstand.base.PrefixChain;
+
+class PlacementProperties {
+    private static final Instant NOW = Instant.EPOCH;
+    private static final PlacementPolicy.Offers POLICY =
+            new PlacementPolicy.Offers(6, 6, 2.0, Duration.ofMillis(5));
+
+    @Property(tries = 300)
+    void takesTheCheapestOfAllOffersAsAnExhaustiveSearchDoes(
+            @ForAll @IntRange(min = 1, max = 6) int size, @ForAll long seed) {
+        Random random = new Random(seed);
+        AgentGroup group = TestAgents.group(size);
+        PrefixChain chain = TestAgents.chain(1, 2, 3, 4);
+        Placement placement = placement(POLICY, random);
+        Placement.Start start = placement.begin(TestAgents.request(group, chain), NOW);
+        PlacementRound round = start.round().orElseThrow();
+        List<AgentView> asked = ((PlacementStep.Ask) start.step()).agents();
+        double least = Double.POSITIVE_INFINITY;
+        PlacementStep step = start.step();
+        for (AgentView view : asked) {
+            OfferAnswer offer = randomOffer(view, random);
+            least = Math.min(least, naiveCost(offer));
+            step = round.onOffer(view.agent(), offer, NOW);
+        }
+        Choice choice = ((PlacementStep.Send) step).choice();
+        assertThat(naiveCost(choice.offer().orElseThrow())).isEqualTo(least);
+    }
+
+    @Property(tries = 100)
+    void sendsEveryRequestSomewhereWhicheverAgentsAnswer(
+            @ForAll @IntRange(min = 1, max = 40) int size, @ForAll long seed) {
+        Random random = new Random(seed);
+        Placement placement = placement(PlacementPolicy.standard(), random);
+        AgentGroup group = TestAgents.group(size);
+        PrefixChain chain = TestAgents.chain(seed, seed + 1);
+        Placement.Start start = placement.begin(TestAgents.request(group, chain), NOW);
+        PlacementRound round = start.round().orElseThrow();
+        PlacementStep step = start.step();
+        while (step instanceof PlacementStep.Ask ask) {
+            step = new PlacementStep.Wait();
+            for (AgentView view : ask.agents()) {
+                step = answerOrNot(round, view, random, step);
+            }
+            if (step instanceof PlacementStep.Wait) {
+                step = round.onPatienceOver(NOW);
+            }
+        }
+        assertThat(step).isInstanceOf(PlacementStep.Send.class);
+        assertThat(round.onPatienceOver(NOW)).isEqualTo(new PlacementStep.Wait());
+    }
+
+    private static PlacementStep answerOrNot(
+            PlacementRound round, AgentView view, Random random, PlacementStep silent) {
+        return switch (random.nextInt(3)) {
+            case 0 -> round.onOffer(view.agent(), randomOffer(view, random), NOW);
+            case 1 -> round.onNoOffer(view.agent(), NOW);
+            default -> silent;
+        };
+    }
+
+    private static Placement placement(PlacementPolicy policy, Random random) {
+        return Placement.create(
+                policy,
+                AgentLoads.create(),
+                RecentPlacements.ofBits(10),
+                ServerObservations.create(),
+                random);
+    }
+
+    private static OfferAnswer randomOffer(AgentView view, Random random) {
+        int held = random.nextInt(5);
+        double wait = random.nextInt(1000);
+        double rate = 1 + random.nextInt(3);
+        double firstToken = wait + (400 - held * 100) / rate;
+        double others = random.nextInt(100);
+        return new OfferAnswer(1, held, wait, firstToken, rate, 0, others, view.boot());
+    }
+
+    private static double naiveCost(OfferAnswer offer) {
+        double recompute = (400 - 100.0 * offer.heldPieces()) / offer.bytesPerMillisecond();
+        return offer.waitMilliseconds() + 2 * recompute + offer.costOnOthersMilliseconds();
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -0,0 +1,121 @@
+package org.ibisstand.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.ibisstand.base.AgentIdentifier;
+import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.base.PrefixChain;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class PlacementTest {
+    private static final Instant NOW = Instant.EPOCH;
+    private static final AgentGroup GROUP = TestAgents.group(12);
+
+    static Stream<PlacementPolicy> policies() {
+        return Stream.of(
+                PlacementPolicy.standard(),
+                new PlacementPolicy.RoundRobin(),
+                new PlacementPolicy.LeastOutstanding(),
+                new PlacementPolicy.TwoChoices(),
+                new PlacementPolicy.PrefixHash(),
+                new PlacementPolicy.LighterOfTwoRanks());
+    }
+
+    private static Placement placement(PlacementPolicy policy) {
+        return Placement.create(
+                policy,
+                AgentLoads.create(),
+                RecentPlacements.ofBits(10),
+                ServerObservations.create(),
+                new Random(1));
+    }
+
+    @ParameterizedTest
+    @MethodSource("policies")
+    void neverSendsToAnAgentThatIsExcluded(PlacementPolicy policy) {
+        Placement placement = placement(policy);
+        AgentView only = GROUP.agent(3);
+        Set<AgentIdentifier> excluded = new HashSet<>();
+        GROUP.agents().forEach(view -> excluded.add(view.agent()));
+        excluded.remove(only.agent());
+        PlacementRequest request =
+                new PlacementRequest(GROUP, Optional.of(TestAgents.chain(1, 2)), excluded);
+        Placement.Start start = placement.begin(request, NOW);
+        PlacementStep step = start.step();
+        if (start.round().isPresent()) {
+            step = start.round().get().onPatienceOver(NOW);
+        }
+        assertThat(step).isEqualTo(new PlacementStep.Send(new Choice(only, Optional.empty())));
+    }
+
+    @ParameterizedTest
+    @MethodSource("policies")
+    void refusesWhereNoAgentIsLeft(PlacementPolicy policy) {
+        PlacementRequest request = TestAgents.request(AgentGroup.empty(), TestAgents.chain(1, 2));
+        assertThat(placement(policy).begin(request, NOW).step())
+                .isEqualTo(new PlacementStep.Refuse());
+    }
+
+    @Test
+    void asksFurtherAgentsWhenTheFirstOffersAreDear() {
+        Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
+        PlacementStep.Ask first = (PlacementStep.Ask) start.step();
+        PlacementStep step = start.step();
+        for (AgentView view : first.agents()) {
+            OfferAnswer dear = TestAgents.offer(view, 0, 10_000, 10_300);
+            step = start.round().orElseThrow().onOffer(view.agent(), dear, NOW);
+        }
+        List<AgentView> more = ((PlacementStep.Ask) step).agents();
+        assertThat(more).isNotEmpty();
+        assertThat(more).containsNoneIn(first.agents());
+    }
+
+    @Test
+    void passesOverAnOfferOfAnotherBoot() {
+        Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
+        PlacementRound round = start.round().orElseThrow();
+        List<AgentView> asked = ((PlacementStep.Ask) start.step()).agents();
+        AgentView restarted = asked.get(0);
+        OfferAnswer stale = new OfferAnswer(1, 3, 0, 1, 1, 0, 0, new BootIdentifier(1_000));
+        round.onOffer(restarted.agent(), stale, NOW);
+        PlacementStep step = new PlacementStep.Wait();
+        for (AgentView view : asked.subList(1, asked.size())) {
+            step = round.onOffer(view.agent(), TestAgents.offer(view, 1, 50, 250), NOW);
+        }
+        Choice choice = ((PlacementStep.Send) step).choice();
+        assertThat(choice.agent()).isNotEqualTo(restarted);
+    }
+
+    @Test
+    void asksTheAgentThatGotTheSamePrefixLast() {
+        Placement placement = placement(PlacementPolicy.standard());
+        Placement.Start first = begin(placement, 1, 2, 3);
+        AgentView taker = ((PlacementStep.Ask) first.step()).agents().getLast();
+        PlacementRound round = first.round().orElseThrow();
+        round.onOffer(taker.agent(), TestAgents.offer(taker, 0, 0, 300), NOW);
+        round.onPatienceOver(NOW);
+        Placement.Start second = begin(placement, 1, 2, 4);
+        assertThat(((PlacementStep.Ask) second.step()).agents()).contains(taker);
+    }
+
+    @Test
+    void twoEntriesThatRestartedAskTheSameAgents() {
+        PlacementStep left = begin(placement(PlacementPolicy.standard()), 1, 2, 3).step();
+        PlacementStep right = begin(placement(PlacementPolicy.standard()), 1, 2, 3).step();
+        assertThat(left).isEqualTo(right);
+    }
+
+    private static Placement.Start begin(Placement placement, long... seeds) {
+        PrefixChain chain = TestAgents.chain(seeds);
+        return placement.begin(TestAgents.request(GROUP, chain), NOW);
+    }
+}
