Add the replicated control state and the log that it stands on

The daemons need one place that decides configuration revisions, claims and fencing numbers, and the consensus driver needs to know what it replicates. ControlState is deterministic: time, limits and retention come with each command, so members with other settings still agree. Log states which failures mean that a command is never applied.

Ruled out: keeping limits as constants of the code, since members of two releases would then differ at the same entry.

--- /dev/null
+++ b/control/src/main/java/org/ibisstand/control/ControlState.java
@@ -0,0 +1,132 @@
+package org.ibisstand.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collection;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.control.message.ClaimState;
+import org.ibisstand.control.message.Command;
+import org.ibisstand.control.message.CommandResult;
+import org.ibisstand.control.message.ConfigurationState;
+import org.ibisstand.control.message.Load;
+import org.ibisstand.control.message.LoadState;
+import org.ibisstand.control.message.Refusal;
+import org.ibisstand.control.message.Snapshot;
+import org.ibisstand.wire.message.RecordOutcomeReply;
+
+/**
+ * What control replicates: the configuration, the claims and the fencing numbers. Time comes with
+ * the commands and never goes back, so all members expire the same claims at the same entry.
+ */
+public final class ControlState implements StateMachine {
+    private ConfigurationHistory mConfiguration;
+    private ClaimTable mClaims;
+    private EngineLoads mLoads;
+    private long mNowMilliseconds;
+
+    private ControlState() {
+        restore(Snapshot.getDefaultInstance());
+    }
+
+    /** Returns the state before the first command. */
+    public static ControlState empty() {
+        return new ControlState();
+    }
+
+    @Override
+    public byte[] apply(byte[] command) {
+        try {
+            return apply(Command.parseFrom(command)).toByteArray();
+        } catch (InvalidProtocolBufferException e) {
+            return refusal(ErrorCode.FRAME_INVALID, "the command is damaged").toByteArray();
+        }
+    }
+
+    /** Applies one command; a refused one changes nothing but the time. */
+    CommandResult apply(Command command) {
+        mNowMilliseconds = Math.max(mNowMilliseconds, command.getNowMilliseconds());
+        try {
+            return decide(command);
+        } catch (IbisstandException e) {
+            return refusal(e.code(), e.getMessage());
+        }
+    }
+
+    private CommandResult decide(Command command) {
+        CommandResult.Builder result = CommandResult.newBuilder();
+        switch (command.getBodyCase()) {
+            case CHANGE_CONFIGURATION ->
+                    result.setConfiguration(
+                            mConfiguration.change(command.getChangeConfiguration()));
+            case MAKE_CLAIM ->
+                    result.setClaim(mClaims.claim(command.getMakeClaim(), mNowMilliseconds));
+            case FINISH_CLAIM -> {
+                boolean recorded = mClaims.finish(command.getFinishClaim());
+                result.setOutcome(RecordOutcomeReply.newBuilder().setRecorded(recorded));
+            }
+            case BEGIN_LOAD ->
+                    result.setLoad(mLoads.begin(command.getBeginLoad(), mNowMilliseconds));
+            case END_LOAD -> result.setLoad(mLoads.end(command.getEndLoad()));
+            case BODY_NOT_SET ->
+                    throw new IbisstandException(
+                            ErrorCode.FRAME_INVALID, "the command has no known body");
+        }
+        return result.build();
+    }
+
+    private static CommandResult refusal(ErrorCode code, String message) {
+        Refusal refusal = Refusal.newBuilder().setCode(code.name()).setMessage(message).build();
+        return CommandResult.newBuilder().setRefusal(refusal).build();
+    }
+
+    /** Returns the revision in force; zero before the first configuration. */
+    public long revision() {
+        return mConfiguration.revision();
+    }
+
+    /** Returns the configuration in force as JSON; empty before the first. */
+    public ByteString configuration() {
+        return mConfiguration.json();
+    }
+
+    /** Returns the weight loads that hold a place. */
+    Collection<Load> loads() {
+        return mLoads.inProgress();
+    }
+
+    ClaimTable claims() {
+        return mClaims;
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return Snapshot.newBuilder()
+                .setNowMilliseconds(mNowMilliseconds)
+                .setConfiguration(mConfiguration.snapshot())
+                .setClaims(mClaims.snapshot())
+                .setLoads(mLoads.snapshot())
+                .build()
+                .toByteArray();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        try {
+            restore(Snapshot.parseFrom(snapshot));
+        } catch (InvalidProtocolBufferException e) {
+            throw new IbisstandException(
+                    ErrorCode.STORAGE_DAMAGED, "the snapshot of the control state is damaged", e);
+        }
+    }
+
+    private void restore(Snapshot snapshot) {
+        ConfigurationState configuration = snapshot.getConfiguration();
+        ClaimState claims = snapshot.getClaims();
+        LoadState loads = snapshot.getLoads();
+        mConfiguration = ConfigurationHistory.restore(configuration);
+        mClaims = ClaimTable.restore(claims);
+        mLoads = EngineLoads.restore(loads);
+        mNowMilliseconds = snapshot.getNowMilliseconds();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -0,0 +1,47 @@
+package org.ibisstand.control;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A replicated log that applies what it commits to one {@link StateMachine}. All methods are called
+ * on the control thread; futures complete on it, and the state machine is applied on it alone.
+ */
+public interface Log extends AutoCloseable {
+    /**
+     * Appends a command, and returns its result once a majority has it on disk and it is applied.
+     *
+     * <p>The future fails with an IbisstandException. NOT_LEADER and NO_QUORUM say that the command
+     * was not applied and never will be. OUTCOME_UNKNOWN says that it may still be applied: the
+     * member stopped leading, or lost its quorum, after the append.
+     *
+     * @param command the bytes for the state machine
+     */
+    CompletableFuture<byte[]> propose(byte[] command);
+
+    /**
+     * Completes once this member is known to have applied all that was committed before the call.
+     * Fails with NOT_LEADER or NO_QUORUM, also when the answer of a quorum takes too long.
+     */
+    CompletableFuture<Void> confirmRead();
+
+    /** Returns what this member knows of the log now. */
+    LogStatus status();
+
+    /**
+     * Adds a member as a learner and makes it a voter once it has caught up.
+     *
+     * @param member the new member, with an identity that was never used before
+     */
+    CompletableFuture<Void> addMember(LogMember member);
+
+    /**
+     * Removes a member; the change counts once the remaining majority has it on disk.
+     *
+     * @param name the member to remove
+     */
+    CompletableFuture<Void> removeMember(String name);
+
+    /** Stops the log; futures that are open fail. */
+    @Override
+    void close();
+}
