--- /dev/null
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
@@ -0,0 +1,138 @@
+package org.ibisstand.wire;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.wire.message.Frame;
+import org.ibisstand.wire.message.Heartbeat;
+import org.tinylog.Logger;
+
+/** Joins one channel to its connection: greeting, heartbeats, answers and requests. */
+final class ConnectionHandler extends SimpleChannelInboundHandler<Frame> {
+    private final WireContext mContext;
+    private final FrameHandler mHandler;
+    private final boolean mInitiator;
+    private WireConnection mConnection;
+    private boolean mGreeted;
+
+    ConnectionHandler(WireContext context, FrameHandler handler, boolean initiator) {
+        mContext = context;
+        mHandler = handler;
+        mInitiator = initiator;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext channel) {
+        mConnection = new WireConnection(channel.channel(), mInitiator);
+        mConnection.send(0, Frame.newBuilder().setHello(mContext.hello()));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext channel, Frame frame) {
+        if (frame.getProtocolVersion() != WireConnection.PROTOCOL_VERSION) {
+            refuse(channel, "protocol version " + frame.getProtocolVersion() + " is unknown");
+            return;
+        }
+        switch (frame.getBodyCase()) {
+            case HELLO -> greet(frame);
+            case HEARTBEAT -> answerHeartbeat(frame.getHeartbeat());
+            case BODY_NOT_SET -> refuse(channel, "the message is empty or of an unknown kind");
+            default -> deliver(channel, frame);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext channel, Object event) {
+        if (event instanceof IdleStateEvent idle) {
+            handleIdle(channel, idle);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext channel) {
+        if (mConnection == null) {
+            return;
+        }
+        mConnection.failWaiting();
+        if (mGreeted) {
+            mHandler.closed(mConnection);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            refuse(channel, "the frame cannot be decoded: " + cause.getMessage());
+            return;
+        }
+        Logger.debug("event=connection_failed peer={} cause={}", channel.channel(), cause);
+        channel.close();
+    }
+
+    private void greet(Frame frame) {
+        mConnection.peerIs(frame.getHello());
+        if (!mGreeted) {
+            mGreeted = true;
+            mHandler.opened(mConnection);
+        }
+    }
+
+    private void answerHeartbeat(Heartbeat heartbeat) {
+        if (!heartbeat.getReply()) {
+            sendHeartbeat(true);
+        }
+    }
+
+    private void deliver(ChannelHandlerContext channel, Frame frame) {
+        if (!mGreeted) {
+            refuse(channel, "the first message must be a hello");
+            return;
+        }
+        if (frame.getCorrelation() == 0 && frame.hasFailure()) {
+            Logger.warn("event=refused_by_peer message={}", frame.getFailure().getMessage());
+            channel.close();
+            return;
+        }
+        if (!mConnection.deliverAnswer(frame)) {
+            handle(frame);
+        }
+    }
+
+    private void handle(Frame frame) {
+        try {
+            mHandler.received(mConnection, frame);
+        } catch (IbisstandException e) {
+            mConnection.send(frame.getCorrelation(), Failures.frameOf(e));
+        }
+    }
+
+    private void handleIdle(ChannelHandlerContext channel, IdleStateEvent idle) {
+        switch (idle.state()) {
+            case READER_IDLE -> {
+                Logger.warn("event=connection_silent peer={}", channel.channel().remoteAddress());
+                channel.close();
+            }
+            default -> sendHeartbeat(false);
+        }
+    }
+
+    private void sendHeartbeat(boolean reply) {
+        Heartbeat heartbeat = Heartbeat.newBuilder().setReply(reply).build();
+        mConnection.send(0, Frame.newBuilder().setHeartbeat(heartbeat));
+    }
+
+    private void refuse(ChannelHandlerContext channel, String message) {
+        Logger.warn(
+                "event=frame_invalid peer={} message={}",
+                channel.channel().remoteAddress(),
+                message);
+        if (mConnection != null) {
+            IbisstandException failure = new IbisstandException(ErrorCode.FRAME_INVALID, message);
+            mConnection.send(0, Failures.frameOf(failure));
+        }
+        channel.close();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/ibisstand/wire/Failures.java
@@ -0,0 +1,89 @@
+package org.ibisstand.wire;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.Verdict;
+import org.ibisstand.wire.message.Failure;
+import org.ibisstand.wire.message.Frame;
+
+/** Converts between failures on the wire and the types of the base module. */
+public final class Failures {
+    private Failures() {}
+
+    /**
+     * Returns the exception that a failure of a peer stands for.
+     *
+     * @param failure as received; an unknown code becomes INTERNAL
+     */
+    public static IbisstandException exceptionOf(Failure failure) {
+        return new IbisstandException(codeOf(failure), failure.getMessage());
+    }
+
+    /**
+     * Returns the verdict that a failure of a peer stands for.
+     *
+     * @param failure as received; an unknown code becomes INTERNAL
+     */
+    public static Verdict verdictOf(Failure failure) {
+        ErrorCode code = codeOf(failure);
+        if (failure.getMayHaveRun()) {
+            return new Verdict.MayHaveRun(code, failure.getMessage());
+        }
+        return new Verdict.NotRun(code, failure.getMessage(), retryAfterOf(failure));
+    }
+
+    /**
+     * Returns a frame that reports a request as not run.
+     *
+     * @param verdict why and when to return
+     */
+    public static Frame.Builder frameOf(Verdict.NotRun verdict) {
+        long retryAfter = verdict.retryAfter().map(Duration::toMillis).orElse(0L);
+        return frame(
+                Failure.newBuilder()
+                        .setCode(verdict.code().name())
+                        .setMessage(verdict.message())
+                        .setRetryAfterMilliseconds(retryAfter));
+    }
+
+    /**
+     * Returns a frame that reports a request as perhaps run.
+     *
+     * @param verdict what was lost
+     */
+    public static Frame.Builder frameOf(Verdict.MayHaveRun verdict) {
+        return frame(
+                Failure.newBuilder()
+                        .setCode(verdict.code().name())
+                        .setMessage(verdict.message())
+                        .setMayHaveRun(true));
+    }
+
+    /**
+     * Returns a frame that refuses a request which did not run.
+     *
+     * @param failure why
+     */
+    public static Frame.Builder frameOf(IbisstandException failure) {
+        return frameOf(new Verdict.NotRun(failure.code(), failure.getMessage()));
+    }
+
+    private static Frame.Builder frame(Failure.Builder failure) {
+        return Frame.newBuilder().setFailure(failure);
+    }
+
+    private static ErrorCode codeOf(Failure failure) {
+        try {
+            return ErrorCode.valueOf(failure.getCode());
+        } catch (IllegalArgumentException e) {
+            return ErrorCode.INTERNAL;
+        }
+    }
+
+    private static Optional<Duration> retryAfterOf(Failure failure) {
+        long milliseconds = failure.getRetryAfterMilliseconds();
+        return milliseconds > 0 ? Optional.of(Duration.ofMillis(milliseconds)) : Optional.empty();
+    }
+}
