Read the settings of each process strictly, with defaults

Cause: entry, agent and control need settings, and every fault in them must name its path and what is allowed.

Ruled out: optional record components with defaults in accessors, since each reader would repeat the default; hand-written checks of each key, since a key without a check would pass unseen.

Ranges and forms are declared on the record components and checked by one walk, which configurations use as well.

--- a/settings/src/main/java/org/ibisstand/settings/Configuration.java
+++ b/settings/src/main/java/org/ibisstand/settings/Configuration.java
@@ -12,10 +12,10 @@
  * @param priorityClasses the classes that requests are served in
  */
 public record Configuration(
-        List<Team> teams,
-        List<Model> models,
-        List<Service> services,
-        List<PriorityClass> priorityClasses) {
+        @Range(from = 0, to = 100000) List<Team> teams,
+        @Range(from = 0, to = 1000) List<Model> models,
+        @Range(from = 0, to = 1000) List<Service> services,
+        @Range(from = 0, to = 16) List<PriorityClass> priorityClasses) {
     /** Copies the lists, so that a configuration never changes. */
     public Configuration {
         teams = List.copyOf(teams);
--- a/settings/src/main/java/org/ibisstand/settings/Model.java
+++ b/settings/src/main/java/org/ibisstand/settings/Model.java
@@ -8,4 +8,8 @@
  * @param priorityClass the class of requests that name none
  * @param pieceBytes the bytes of prompt that one unit of cache knowledge stands for
  */
-public record Model(String name, String weightsVersion, String priorityClass, int pieceBytes) {}
+public record Model(
+        @Form(TextForm.MODEL_NAME) String name,
+        @Form(TextForm.NAME) String weightsVersion,
+        @Form(TextForm.NAME) String priorityClass,
+        @Range(from = 16, to = 1048576) int pieceBytes) {}
--- a/settings/src/main/java/org/ibisstand/settings/PriorityClass.java
+++ b/settings/src/main/java/org/ibisstand/settings/PriorityClass.java
@@ -9,4 +9,7 @@
  * @param deadlineMilliseconds the time after which an answer is worth nothing
  */
 public record PriorityClass(
-        String name, int rank, long firstTokenMilliseconds, long deadlineMilliseconds) {}
+        @Form(TextForm.NAME) String name,
+        @Range(from = 0, to = 15) int rank,
+        @Range(from = 1, to = 3600000) long firstTokenMilliseconds,
+        @Range(from = 1, to = 86400000) long deadlineMilliseconds) {}
--- a/settings/src/main/java/org/ibisstand/settings/Service.java
+++ b/settings/src/main/java/org/ibisstand/settings/Service.java
@@ -9,7 +9,10 @@
  * @param priorityClass the class of its requests
  * @param calls which calls may run more than once; the first that matches decides
  */
-public record Service(String name, String priorityClass, List<Call> calls) {
+public record Service(
+        @Form(TextForm.NAME) String name,
+        @Form(TextForm.NAME) String priorityClass,
+        @Range(from = 0, to = 256) List<Call> calls) {
     private static final String ANY = "*";
 
     /** Copies the list, so that a service never changes. */
@@ -38,7 +41,10 @@
      * @param pathPrefix the beginning of the paths meant
      * @param idempotent whether such a call may run more than once
      */
-    public record Call(String method, String pathPrefix, boolean idempotent) {
+    public record Call(
+            @Form(TextForm.METHOD) String method,
+            @Form(TextForm.PATH_PREFIX) String pathPrefix,
+            boolean idempotent) {
         boolean matches(String actualMethod, String path) {
             boolean methodMatches = method.equals(ANY) || method.equals(actualMethod);
             return methodMatches && path.startsWith(pathPrefix);
--- a/settings/src/main/java/org/ibisstand/settings/Team.java
+++ b/settings/src/main/java/org/ibisstand/settings/Team.java
@@ -14,11 +14,11 @@
  * @param services the services that the team may use
  */
 public record Team(
-        String name,
-        List<String> tokenSha256,
-        int weight,
-        int maximumConcurrentRequests,
-        double requestsPerSecond,
+        @Form(TextForm.NAME) String name,
+        @Range(from = 0, to = 16) @Form(TextForm.DIGEST) List<String> tokenSha256,
+        @Range(from = 1, to = 1000) int weight,
+        @Range(from = 1, to = 1000000) int maximumConcurrentRequests,
+        @Range(from = 0.001, to = 1000000) double requestsPerSecond,
         List<String> models,
         List<String> services) {
     /** Copies the lists, so that a team never changes. */
