Share one offer type between entries and agents

The entry side had its own record of an offer beside the one of the agent side. The boot identifier comes from the connection, so one record does.

--- a/routing/src/main/java/org/ibisstand/routing/Choice.java
+++ b/routing/src/main/java/org/ibisstand/routing/Choice.java
@@ -8,4 +8,4 @@
  * @param agent the agent to send to
  * @param offer the offer that was taken; empty if the choice was made without one
  */
-public record Choice(AgentView agent, Optional<OfferAnswer> offer) {}
+public record Choice(AgentView agent, Optional<Offer> offer) {}
--- a/routing/src/main/java/org/ibisstand/routing/OfferCost.java
+++ b/routing/src/main/java/org/ibisstand/routing/OfferCost.java
@@ -22,7 +22,7 @@
      * @param offer what the agent predicts
      * @param slowness how many times longer than predicted the agent takes, at least one
      */
-    double of(OfferAnswer offer, double slowness) {
+    double of(Offer offer, double slowness) {
         double ownTime = offer.firstTokenMilliseconds() * slowness;
         double recomputed = recomputeMilliseconds(offer) * slowness;
         return ownTime
@@ -37,12 +37,12 @@
      * @param offer the best offer so far
      * @param slowness how many times longer than predicted the agent takes, at least one
      */
-    boolean isDear(OfferAnswer offer, double slowness) {
+    boolean isDear(Offer offer, double slowness) {
         double whole = promptBytes / offer.bytesPerMillisecond();
         return of(offer, slowness) > recomputeWeight * whole;
     }
 
-    private double recomputeMilliseconds(OfferAnswer offer) {
+    private double recomputeMilliseconds(Offer offer) {
         long held = (long) offer.heldPieces() * pieceBytes;
         return Math.max(0, promptBytes - held) / offer.bytesPerMillisecond();
     }
--- a/routing/src/main/java/org/ibisstand/routing/Placement.java
+++ b/routing/src/main/java/org/ibisstand/routing/Placement.java
@@ -188,7 +188,7 @@
     }
 
     /** Takes in what an offer tells about the agent. */
-    void learn(PlacementRequest request, AgentIdentifier agent, OfferAnswer offer, Instant now) {
+    void learn(PlacementRequest request, AgentIdentifier agent, Offer offer, Instant now) {
         mLoads.reported(agent, offer.queued(), now);
         request.chain().ifPresent(chain -> learnHeld(chain, agent, offer.heldPieces()));
     }
--- a/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.ibisstand.base.AgentIdentifier;
+import org.ibisstand.base.BootIdentifier;
 
 /**
  * Places one request: asks candidates, gathers their offers and chooses.
@@ -48,17 +49,19 @@
      * Takes in an offer.
      *
      * @param agent who made it
+     * @param boot the run of the agent that made it
      * @param offer what it predicts
      * @param now when it was received
      */
-    public PlacementStep onOffer(AgentIdentifier agent, OfferAnswer offer, Instant now) {
+    public PlacementStep onOffer(
+            AgentIdentifier agent, BootIdentifier boot, Offer offer, Instant now) {
         mPlacement.learn(mRequest, agent, offer, now);
         if (mOver || !mAwaited.remove(agent)) {
             return new PlacementStep.Wait();
         }
         mRequest.group()
                 .find(agent)
-                .filter(view -> view.boot().equals(offer.boot()))
+                .filter(view -> view.boot().equals(boot))
                 .ifPresent(view -> mOffers.add(new Choice(view, Optional.of(offer))));
         return mAwaited.isEmpty() ? decide(now) : new PlacementStep.Wait();
     }
--- a/routing/src/test/java/org/ibisstand/routing/PlacementProperties.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementProperties.java
@@ -29,9 +29,9 @@
         double least = Double.POSITIVE_INFINITY;
         PlacementStep step = start.step();
         for (AgentView view : asked) {
-            OfferAnswer offer = randomOffer(view, random);
+            Offer offer = randomOffer(random);
             least = Math.min(least, naiveCost(offer));
-            step = round.onOffer(view.agent(), offer, NOW);
+            step = round.onOffer(view.agent(), view.boot(), offer, NOW);
         }
         Choice choice = ((PlacementStep.Send) step).choice();
         assertThat(naiveCost(choice.offer().orElseThrow())).isEqualTo(least);
@@ -63,7 +63,7 @@
     private static PlacementStep answerOrNot(
             PlacementRound round, AgentView view, Random random, PlacementStep silent) {
         return switch (random.nextInt(3)) {
-            case 0 -> round.onOffer(view.agent(), randomOffer(view, random), NOW);
+            case 0 -> round.onOffer(view.agent(), view.boot(), randomOffer(random), NOW);
             case 1 -> round.onNoOffer(view.agent(), NOW);
             default -> silent;
         };
@@ -78,16 +78,16 @@
                 random);
     }
 
-    private static OfferAnswer randomOffer(AgentView view, Random random) {
+    private static Offer randomOffer(Random random) {
         int held = random.nextInt(5);
         double wait = random.nextInt(1000);
         double rate = 1 + random.nextInt(3);
         double firstToken = wait + (400 - held * 100) / rate;
         double others = random.nextInt(100);
-        return new OfferAnswer(1, held, wait, firstToken, rate, 0, others, view.boot());
+        return new Offer(1, held, wait, firstToken, rate, 0, others);
     }
 
-    private static double naiveCost(OfferAnswer offer) {
+    private static double naiveCost(Offer offer) {
         double recompute = (400 - 100.0 * offer.heldPieces()) / offer.bytesPerMillisecond();
         return offer.waitMilliseconds() + 2 * recompute + offer.costOnOthersMilliseconds();
     }
--- a/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -71,8 +71,8 @@
         PlacementStep.Ask first = (PlacementStep.Ask) start.step();
         PlacementStep step = start.step();
         for (AgentView view : first.agents()) {
-            OfferAnswer dear = TestAgents.offer(view, 0, 10_000, 10_300);
-            step = start.round().orElseThrow().onOffer(view.agent(), dear, NOW);
+            Offer dear = TestAgents.offer(0, 10_000, 10_300);
+            step = start.round().orElseThrow().onOffer(view.agent(), view.boot(), dear, NOW);
         }
         List<AgentView> more = ((PlacementStep.Ask) step).agents();
         assertThat(more).isNotEmpty();
@@ -85,11 +85,11 @@
         PlacementRound round = start.round().orElseThrow();
         List<AgentView> asked = ((PlacementStep.Ask) start.step()).agents();
         AgentView restarted = asked.get(0);
-        OfferAnswer stale = new OfferAnswer(1, 3, 0, 1, 1, 0, 0, new BootIdentifier(1_000));
-        round.onOffer(restarted.agent(), stale, NOW);
+        Offer stale = TestAgents.offer(3, 0, 1);
+        round.onOffer(restarted.agent(), new BootIdentifier(1_000), stale, NOW);
         PlacementStep step = new PlacementStep.Wait();
         for (AgentView view : asked.subList(1, asked.size())) {
-            step = round.onOffer(view.agent(), TestAgents.offer(view, 1, 50, 250), NOW);
+            step = round.onOffer(view.agent(), view.boot(), TestAgents.offer(1, 50, 250), NOW);
         }
         Choice choice = ((PlacementStep.Send) step).choice();
         assertThat(choice.agent()).isNotEqualTo(restarted);
@@ -101,7 +101,7 @@
         Placement.Start first = begin(placement, 1, 2, 3);
         AgentView taker = ((PlacementStep.Ask) first.step()).agents().getLast();
         PlacementRound round = first.round().orElseThrow();
-        round.onOffer(taker.agent(), TestAgents.offer(taker, 0, 0, 300), NOW);
+        round.onOffer(taker.agent(), taker.boot(), TestAgents.offer(0, 0, 300), NOW);
         round.onPatienceOver(NOW);
         Placement.Start second = begin(placement, 1, 2, 4);
         assertThat(((PlacementStep.Ask) second.step()).agents()).contains(taker);
--- a/routing/src/test/java/org/ibisstand/routing/TestAgents.java
+++ b/routing/src/test/java/org/ibisstand/routing/TestAgents.java
@@ -50,7 +50,7 @@
         return new PlacementRequest(group, Optional.of(chain), Set.of());
     }
 
-    static OfferAnswer offer(AgentView agent, int heldPieces, double wait, double firstToken) {
-        return new OfferAnswer(1, heldPieces, wait, firstToken, 1, 0, 0, agent.boot());
+    static Offer offer(int heldPieces, double wait, double firstToken) {
+        return new Offer(1, heldPieces, wait, firstToken, 1, 0, 0);
     }
 }
