--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/Hedging.java
@@ -0,0 +1,92 @@
+package org.ibisstand.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Decides when a request that is late gets a second attempt at another agent.
+ *
+ * <p>Only idempotent and short requests are hedged, after a late percentile of the times observed
+ * lately, and inside a budget that is a share of the requests. The caller takes the first answer
+ * and cancels the other attempt, which counts as waste. May be used by any thread.
+ */
+public final class Hedging {
+    private static final double LATE_SHARE = 0.95;
+    private static final double MAXIMUM_SAVED = 10;
+    private static final int MINIMUM_COUNT = 50;
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+
+    private final TimeQuantiles mTimes;
+    private final RetryBudget mBudget;
+    private final LongAdder mSent = new LongAdder();
+    private final LongAdder mWon = new LongAdder();
+
+    private Hedging(TimeQuantiles times, RetryBudget budget) {
+        mTimes = times;
+        mBudget = budget;
+    }
+
+    /**
+     * Creates hedging that has observed nothing yet and therefore hedges nothing.
+     *
+     * @param share second attempts that each request earns, between zero and one
+     * @param now the present
+     */
+    public static Hedging create(double share, Instant now) {
+        return new Hedging(
+                new TimeQuantiles(WINDOW, MINIMUM_COUNT, now),
+                RetryBudget.create(share, 0, MAXIMUM_SAVED, now));
+    }
+
+    /**
+     * Notes the time to first token or first byte of a request that could have been hedged.
+     *
+     * @param time the time since it was sent
+     * @param now the present
+     */
+    public void observed(Duration time, Instant now) {
+        mTimes.add(time, now);
+        mBudget.succeeded();
+    }
+
+    /**
+     * Returns how long after its begin a request is late, or nothing if it is not to be hedged.
+     *
+     * @param idempotent whether the request may run more than once
+     * @param isShort whether it is little work
+     * @param now the present
+     */
+    public Optional<Duration> delay(boolean idempotent, boolean isShort, Instant now) {
+        return idempotent && isShort ? mTimes.quantile(LATE_SHARE, now) : Optional.empty();
+    }
+
+    /**
+     * Takes a second attempt from the budget; called when a request is late.
+     *
+     * @param now the present
+     */
+    public boolean take(Instant now) {
+        boolean isTaken = mBudget.take(now);
+        if (isTaken) {
+            mSent.increment();
+        }
+        return isTaken;
+    }
+
+    /** Notes that a second attempt answered first. */
+    public void won() {
+        mWon.increment();
+    }
+
+    /** Returns the second attempts that were sent; each cost one cancelled attempt. */
+    public long sent() {
+        return mSent.sum();
+    }
+
+    /** Returns the second attempts that answered first. */
+    public long wins() {
+        return mWon.sum();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/Observation.java
@@ -0,0 +1,36 @@
+package org.ibisstand.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.ibisstand.base.AgentIdentifier;
+
+/** One piece of work that an agent was given; distinct from every other by identity. */
+public final class Observation {
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+    private final AgentIdentifier mAgent;
+    private final double mExpectedMilliseconds;
+    private final Instant mStarted;
+
+    Observation(AgentIdentifier agent, Duration expected, Instant started) {
+        mAgent = agent;
+        mExpectedMilliseconds = expected.toNanos() / NANOSECONDS_PER_MILLISECOND;
+        mStarted = started;
+    }
+
+    AgentIdentifier agent() {
+        return mAgent;
+    }
+
+    double expectedMilliseconds() {
+        return mExpectedMilliseconds;
+    }
+
+    double elapsedMilliseconds(Instant now) {
+        return Duration.between(mStarted, now).toNanos() / NANOSECONDS_PER_MILLISECOND;
+    }
+
+    boolean isLate(Instant now) {
+        return elapsedMilliseconds(now) > mExpectedMilliseconds;
+    }
+}
--- a/routing/src/main/java/org/ibisstand/routing/ServerObservations.java
+++ b/routing/src/main/java/org/ibisstand/routing/ServerObservations.java
@@ -7,17 +7,14 @@
 import org.ibisstand.base.AgentIdentifier;
 
 /**
- * Compares what agents predicted with what this entry observed, and tells how slow each is now.
+ * Compares how long agents were expected to take with how long they take, and tells how slow each
+ * is now. Work in progress that is late counts before it ends.
  *
- * <p>An observation loses half of its weight with every half-life, so that an agent that nobody
- * sends to any more is soon tried again. May be used by any thread.
+ * <p>What was observed loses half of its weight with every half-life, so that an agent that was
+ * slowed for a moment is soon tried again. May be used by any thread.
  */
 public final class ServerObservations {
-    private static final Duration HALF_LIFE = Duration.ofSeconds(1);
-    private static final double MAXIMUM_SLOWNESS = 20;
-    private static final double NEW_SHARE = 0.3;
-
-    private final Map<AgentIdentifier, Observed> mObserved = new ConcurrentHashMap<>();
+    private final Map<AgentIdentifier, AgentHistory> mHistories = new ConcurrentHashMap<>();
 
     private ServerObservations() {}
 
@@ -27,34 +24,48 @@
     }
 
     /**
-     * Notes how long an agent took for one piece of work.
+     * Notes that an agent began a piece of work; its end is told by {@link #ended} or {@link
+     * #abandoned}.
+     *
+     * @param agent who does it
+     * @param expected the predicted time
+     * @param now the present
+     */
+    public Observation started(AgentIdentifier agent, Duration expected, Instant now) {
+        Observation observation = new Observation(agent, expected, now);
+        history(agent).started(observation);
+        return observation;
+    }
+
+    /**
+     * Notes that a piece of work gave what was expected of it, such as its first token.
      *
-     * @param agent who did it
-     * @param expected the predicted time, positive
-     * @param observed the time it took
-     * @param now when it ended
+     * @param observation the piece of work
+     * @param now the present
+     */
+    public void ended(Observation observation, Instant now) {
+        history(observation.agent()).ended(observation, now);
+    }
+
+    /**
+     * Notes that a piece of work was cancelled; if it was late by then, it counts as ended.
+     *
+     * @param observation the piece of work
+     * @param now the present
      */
-    public void observed(AgentIdentifier agent, Duration expected, Duration observed, Instant now) {
-        double ratio = (double) observed.toNanos() / Math.max(1, expected.toNanos());
-        double bounded = Math.clamp(ratio, 1.0, MAXIMUM_SLOWNESS);
-        mObserved.merge(
-                agent,
-                new Observed(bounded, now),
-                (before, after) -> {
-                    double present = before.at(now);
-                    return new Observed(present + NEW_SHARE * (bounded - present), now);
-                });
+    public void abandoned(Observation observation, Instant now) {
+        history(observation.agent()).abandoned(observation, now);
     }
 
     /**
-     * Returns how many times longer than predicted an agent takes now, at least one.
+     * Returns how many times longer than expected an agent takes now, at least one.
      *
      * @param agent its name
      * @param now the present
      */
     public double slowness(AgentIdentifier agent, Instant now) {
-        Observed observed = mObserved.get(agent);
-        return observed == null ? 1 : observed.at(now);
+        AgentHistory history = mHistories.get(agent);
+        return history == null ? 1 : history.slowness(now);
     }
 
     /**
@@ -63,13 +74,10 @@
      * @param agent its name
      */
     public void forget(AgentIdentifier agent) {
-        mObserved.remove(agent);
+        mHistories.remove(agent);
     }
 
-    private record Observed(double slowness, Instant since) {
-        double at(Instant now) {
-            double age = Math.max(0, Duration.between(since, now).toNanos());
-            return 1 + (slowness - 1) * Math.pow(0.5, age / HALF_LIFE.toNanos());
-        }
+    private AgentHistory history(AgentIdentifier agent) {
+        return mHistories.computeIfAbsent(agent, unused -> new AgentHistory());
     }
 }
