Keep each backend server's queue and cache index at its agent

Only the process beside a backend server can know its queue and cache without events to the whole fleet, and can say truthfully that work did not run.

WorkQueue orders by class, short before long, fair shares between teams, with ageing, bounds what is inside the engine, and refuses what would miss its deadline.

--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/LongStampMap.java
@@ -0,0 +1,127 @@
+package org.ibisstand.routing;
+
+/**
+ * Maps 64-bit hashes to 32-bit stamps in two primitive arrays.
+ *
+ * <p>At most three quarters of the slots are taken, so an entry costs 16 to 32 bytes.
+ */
+final class LongStampMap {
+    private static final int MINIMUM_SLOTS = 64;
+    private static final int ABSENT = -1;
+    private static final int BYTES_PER_SLOT = Long.BYTES + Integer.BYTES;
+
+    private long[] mKeys = new long[MINIMUM_SLOTS];
+    private int[] mStamps = new int[MINIMUM_SLOTS];
+    private int mSize;
+    // Zero marks a free slot, so the key zero is kept apart.
+    private int mZeroStamp = ABSENT;
+
+    /** Returns the stamp of a key, or a negative number. */
+    int get(long key) {
+        if (key == 0) {
+            return mZeroStamp;
+        }
+        int slot = find(key);
+        return mKeys[slot] == key ? mStamps[slot] : ABSENT;
+    }
+
+    void put(long key, int stamp) {
+        if (key == 0) {
+            mZeroStamp = stamp;
+            return;
+        }
+        int slot = find(key);
+        if (mKeys[slot] != key) {
+            mKeys[slot] = key;
+            mSize++;
+        }
+        mStamps[slot] = stamp;
+        if (mSize > mKeys.length / 4 * 3) {
+            resize(mKeys.length * 2);
+        }
+    }
+
+    void remove(long key) {
+        if (key == 0) {
+            mZeroStamp = ABSENT;
+            return;
+        }
+        int slot = find(key);
+        if (mKeys[slot] == key) {
+            mSize--;
+            closeGap(slot);
+        }
+    }
+
+    /** Removes every entry with a stamp below the bound. */
+    void removeBelow(int stamp) {
+        long[] keys = mKeys;
+        int[] stamps = mStamps;
+        int zeroStamp = mZeroStamp;
+        clear();
+        mZeroStamp = zeroStamp >= stamp ? zeroStamp : ABSENT;
+        for (int slot = 0; slot < keys.length; slot++) {
+            if (keys[slot] != 0 && stamps[slot] >= stamp) {
+                put(keys[slot], stamps[slot]);
+            }
+        }
+    }
+
+    void clear() {
+        mKeys = new long[MINIMUM_SLOTS];
+        mStamps = new int[MINIMUM_SLOTS];
+        mSize = 0;
+        mZeroStamp = ABSENT;
+    }
+
+    int size() {
+        return mZeroStamp == ABSENT ? mSize : mSize + 1;
+    }
+
+    long memoryBytes() {
+        return (long) mKeys.length * BYTES_PER_SLOT;
+    }
+
+    private int find(long key) {
+        int mask = mKeys.length - 1;
+        int slot = home(key, mask);
+        while (mKeys[slot] != 0 && mKeys[slot] != key) {
+            slot = (slot + 1) & mask;
+        }
+        return slot;
+    }
+
+    private void closeGap(int freed) {
+        int mask = mKeys.length - 1;
+        int free = freed;
+        int slot = (free + 1) & mask;
+        while (mKeys[slot] != 0) {
+            int home = home(mKeys[slot], mask);
+            if (((slot - home) & mask) >= ((slot - free) & mask)) {
+                mKeys[free] = mKeys[slot];
+                mStamps[free] = mStamps[slot];
+                free = slot;
+            }
+            slot = (slot + 1) & mask;
+        }
+        mKeys[free] = 0;
+    }
+
+    private void resize(int slots) {
+        long[] keys = mKeys;
+        int[] stamps = mStamps;
+        mKeys = new long[slots];
+        mStamps = new int[slots];
+        for (int slot = 0; slot < keys.length; slot++) {
+            if (keys[slot] != 0) {
+                int target = find(keys[slot]);
+                mKeys[target] = keys[slot];
+                mStamps[target] = stamps[slot];
+            }
+        }
+    }
+
+    private static int home(long key, int mask) {
+        return (int) (key ^ (key >>> 32)) & mask;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
@@ -0,0 +1,66 @@
+package org.ibisstand.routing;
+
+import java.time.Duration;
+
+/** How an agent orders, bounds and refuses work for its backend server. */
+public sealed interface QueuePolicy {
+    /**
+     * Sends everything at once and leaves order to the backend server; the naive baseline.
+     *
+     * @param concurrency the most work at the backend server at once
+     */
+    record FirstComeFirstServed(int concurrency) implements QueuePolicy {}
+
+    /**
+     * Orders by class, then short before long, then by the fair shares of teams.
+     *
+     * @param concurrency the most work at the backend server at once
+     * @param prefillMilliseconds the most prefill inside the engine that has no first token yet
+     * @param longMilliseconds prefill from which work counts as long
+     * @param longShare the part of the prefill bound that long work may fill while short work waits
+     * @param ageing the wait after which work moves up by one class
+     * @param maximumQueued the most work that may wait
+     * @param refuseEarly whether work is refused as soon as it is predicted to miss its deadline
+     * @param holdWeight the part of held places' prefill that offers count as work ahead
+     */
+    record SharedByClass(
+            int concurrency,
+            double prefillMilliseconds,
+            double longMilliseconds,
+            double longShare,
+            Duration ageing,
+            int maximumQueued,
+            boolean refuseEarly,
+            double holdWeight)
+            implements QueuePolicy {
+        /**
+         * Returns the policy for a model engine.
+         *
+         * @param concurrency the most requests that the engine decodes at once
+         */
+        public static SharedByClass forEngine(int concurrency) {
+            return new SharedByClass(
+                    concurrency, 600, 800, 0.7, Duration.ofSeconds(4), 2048, true, 0.3);
+        }
+
+        /**
+         * Returns the policy for a plain service, where only concurrency is bounded.
+         *
+         * @param concurrency the most calls that the service works on at once
+         */
+        public static SharedByClass forService(int concurrency) {
+            return new SharedByClass(
+                    concurrency,
+                    Double.MAX_VALUE,
+                    Double.MAX_VALUE,
+                    1,
+                    Duration.ofSeconds(1),
+                    4096,
+                    true,
+                    0.3);
+        }
+    }
+
+    /** Returns the most work that may be at the backend server at once. */
+    int concurrency();
+}
--- /dev/null
+++ b/routing/src/main/java/org/ibisstand/routing/Work.java
@@ -0,0 +1,10 @@
+package org.ibisstand.routing;
+
+/**
+ * One attempt of a request that was sent to an agent.
+ *
+ * @param identifier names the attempt at this agent; never used twice
+ * @param question what the attempt needs
+ * @param hold the hold of the offer that it takes up, or zero
+ */
+public record Work(long identifier, Question question, long hold) {}
--- /dev/null
+++ b/routing/src/test/java/org/ibisstand/routing/CacheIndexProperties.java
@@ -0,0 +1,111 @@
+package org.ibisstand.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.ibisstand.base.ManualClock;
+import org.ibisstand.base.PrefixChain;
+
+class CacheIndexProperties {
+    private static final int HASHES = 40;
+    private static final int EVENTS = 300;
+
+    private ManualClock mClock;
+    private CacheIndex mIndex;
+    private Set<Long> mEngine;
+
+    @BeforeTry
+    void startEmpty() {
+        mClock = ManualClock.at(Instant.EPOCH);
+        mIndex = CacheIndex.create(mClock);
+        mEngine = new HashSet<>();
+    }
+
+    private static PrefixChain single(long hash) {
+        return PrefixChain.ofHashes(new long[] {hash}, 1, 1);
+    }
+
+    private boolean believed(long hash) {
+        return mIndex.heldPieces(single(hash)) == 1;
+    }
+
+    /** Changes the naive model; the event reaches the index unless it is lost. */
+    private void event(long sequence, Random random, boolean lost) {
+        long hash = random.nextInt(HASHES);
+        boolean store = random.nextBoolean();
+        if (store) {
+            mEngine.add(hash);
+        } else {
+            mEngine.remove(hash);
+        }
+        if (!lost && store) {
+            mIndex.stored(sequence, hash);
+        } else if (!lost) {
+            mIndex.removed(sequence, hash);
+        }
+        mClock.advance(Duration.ofMillis(random.nextInt(100)));
+    }
+
+    @Property(tries = 100)
+    void agreesWithASetWhileNoEventIsLost(@ForAll long seed) {
+        Random random = new Random(seed);
+        for (int sequence = 0; sequence < EVENTS; sequence++) {
+            event(sequence, random, false);
+        }
+        for (long hash = 0; hash < HASHES; hash++) {
+            assertThat(believed(hash)).isEqualTo(mEngine.contains(hash));
+        }
+        assertThat(mIndex.size()).isEqualTo(mEngine.size());
+    }
+
+    @Property(tries = 100)
+    void believesNothingWrongOnceTheDoubtAfterTheLastGapHasEnded(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 60) int lossPercent) {
+        Random random = new Random(seed);
+        for (int sequence = 0; sequence < EVENTS; sequence++) {
+            event(sequence, random, random.nextInt(100) < lossPercent);
+        }
+        event(EVENTS, random, false);
+        mClock.advance(CacheIndex.DOUBT.multipliedBy(2).plusMillis(100));
+        for (long hash = 0; hash < HASHES; hash++) {
+            assertThat(believed(hash) && !mEngine.contains(hash)).isFalse();
+        }
+    }
+
+    @Property(tries = 100)
+    void takesRepeatedStoresOnlyOnce(@ForAll long seed) {
+        Random random = new Random(seed);
+        for (int sequence = 0; sequence < EVENTS; sequence++) {
+            event(sequence, random, false);
+            mIndex.stored(random.nextInt(sequence + 1), HASHES + 1L);
+        }
+        assertThat(believed(HASHES + 1L)).isFalse();
+    }
+
+    @Property(tries = 100)
+    void mapAgreesWithANaiveMap(@ForAll List<@IntRange(min = 0, max = 200) Integer> keys) {
+        LongStampMap map = new LongStampMap();
+        Set<Integer> naive = new HashSet<>();
+        for (int key : keys) {
+            if (naive.remove(key)) {
+                map.remove(key);
+            } else {
+                naive.add(key);
+                map.put(key, key + 1);
+            }
+        }
+        for (int key = 0; key <= 200; key++) {
+            assertThat(map.get(key)).isEqualTo(naive.contains(key) ? key + 1 : -1);
+        }
+        assertThat(map.size()).isEqualTo(naive.size());
+    }
+}
