Give a second question for offers its own patience

The timer of the first question ended the second one early when all first offers were dear: givesEveryQuestionItsOwnPatience was red with 'expected: Wait[]' but Send. The round now counts the ends of patience against its questions. Ruled out: comparing instants, which loses a request if a timer fires a nanosecond early. The property over silent agents now performs the timer of every question and is stricter than before.

--- a/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
@@ -25,6 +25,8 @@
     private final Set<AgentIdentifier> mAwaited = new HashSet<>();
     private final List<Choice> mOffers = new ArrayList<>();
     private int mAsked;
+    private int mQuestions;
+    private int mPatienceEnds;
     private boolean mOver;
 
     PlacementRound(
@@ -86,7 +88,8 @@
      * @param now the present
      */
     public PlacementStep onPatienceOver(Instant now) {
-        if (mOver) {
+        mPatienceEnds++;
+        if (mOver || mPatienceEnds < mQuestions) {
             return new PlacementStep.Wait();
         }
         mAwaited.clear();
@@ -97,6 +100,7 @@
         List<AgentView> next = mCandidates.subList(mAsked, mAsked + count);
         next.forEach(view -> mAwaited.add(view.agent()));
         mAsked += count;
+        mQuestions++;
         return new PlacementStep.Ask(next, mPolicy.patience());
     }
 
--- a/routing/src/test/java/org/ibisstand/routing/PlacementProperties.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementProperties.java
@@ -52,8 +52,11 @@
             for (AgentView view : ask.agents()) {
                 step = answerOrNot(round, view, random, step);
             }
+            PlacementStep atPatienceEnd = round.onPatienceOver(NOW);
             if (step instanceof PlacementStep.Wait) {
-                step = round.onPatienceOver(NOW);
+                step = atPatienceEnd;
+            } else {
+                assertThat(atPatienceEnd).isEqualTo(new PlacementStep.Wait());
             }
         }
         assertThat(step).isInstanceOf(PlacementStep.Send.class);
--- a/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -79,6 +79,21 @@
         assertThat(more).containsNoneIn(first.agents());
     }
 
+    @Test
+    void givesEveryQuestionItsOwnPatience() {
+        Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
+        PlacementRound round = start.round().orElseThrow();
+        PlacementStep step = start.step();
+        for (AgentView view : ((PlacementStep.Ask) start.step()).agents()) {
+            Offer dear = TestAgents.offer(0, 10_000, 10_300);
+            step = round.onOffer(view.agent(), view.boot(), dear, NOW);
+        }
+        assertThat(step).isInstanceOf(PlacementStep.Ask.class);
+        // The end of the first patience says nothing about the second question.
+        assertThat(round.onPatienceOver(NOW)).isEqualTo(new PlacementStep.Wait());
+        assertThat(round.onPatienceOver(NOW)).isInstanceOf(PlacementStep.Send.class);
+    }
+
     @Test
     void passesOverAnOfferOfAnotherBoot() {
         Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
