--- a/control/src/main/java/org/ibisstand/control/Log.java
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -1,6 +1,8 @@
 package org.ibisstand.control;
 
 import java.util.concurrent.CompletableFuture;
+import org.ibisstand.wire.WireConnection;
+import org.ibisstand.wire.message.ConsensusEnvelope;
 
 /**
  * A replicated log that applies what it commits to one {@link StateMachine}. All methods are called
@@ -41,6 +43,14 @@
      */
     CompletableFuture<Void> removeMember(String name);
 
+    /**
+     * Takes a message of another member.
+     *
+     * @param connection where the message came from
+     * @param envelope the message
+     */
+    default void received(WireConnection connection, ConsensusEnvelope envelope) {}
+
     /** Stops the log; futures that are open fail. */
     @Override
     void close();
--- a/control/src/main/java/org/ibisstand/control/LogStatus.java
+++ b/control/src/main/java/org/ibisstand/control/LogStatus.java
@@ -8,7 +8,7 @@
  *
  * @param role what the member is in its term
  * @param term the term that it knows of
- * @param leaderAddress host and port of the leader, if known
+ * @param leaderAddress host and port of the leader, while this member is in touch with it
  * @param committedIndex the last entry known to be committed
  * @param appliedIndex the last entry that the state machine has applied
  * @param members all members, in order of their names
