--- a/measure/src/main/java/org/ibisstand/measure/Run.java
+++ b/measure/src/main/java/org/ibisstand/measure/Run.java
@@ -72,18 +72,19 @@
                     mRouters.add(
                             new ClairvoyantRouter(
                                     mSimulation, mCluster, clairvoyant.recomputeWeight()));
-            case Contender.Product product -> createEntries(product.placement());
-            case Contender.Naive naive -> createEntries(naive.placement());
+            case Contender.Product product -> createEntries(product.placement(), true);
+            case Contender.Naive naive -> createEntries(naive.placement(), false);
         }
     }
 
-    private void createEntries(PlacementPolicy policy) {
+    private void createEntries(PlacementPolicy policy, boolean hedges) {
         for (int entry = 0; entry < ENTRIES; entry++) {
             mEntries.add(
                     new EntryModel(
                             mSimulation,
                             mCluster,
                             policy,
+                            hedges,
                             Cluster.zone(entry),
                             mWorkload.crossZoneMilliseconds(),
                             mRandom.split(),
