--- a/wire/src/main/java/org/ibisstand/wire/Failures.java
+++ b/wire/src/main/java/org/ibisstand/wire/Failures.java
@@ -18,7 +18,12 @@
      * @param failure as received; an unknown code becomes INTERNAL
      */
     public static IbisstandException exceptionOf(Failure failure) {
-        return new IbisstandException(codeOf(failure), failure.getMessage());
+        ErrorCode code = codeOf(failure);
+        if (failure.getLeaderAddress().isEmpty()) {
+            return new IbisstandException(code, failure.getMessage());
+        }
+        return new IbisstandException(
+                code, failure.getMessage(), new LeaderHint(failure.getLeaderAddress()));
     }
 
     /**
@@ -70,6 +75,26 @@
         return frameOf(new Verdict.NotRun(failure.code(), failure.getMessage()));
     }
 
+    /**
+     * Returns a frame by which a member of control refuses what only the leader may do.
+     *
+     * @param message details for the log of the caller
+     * @param leaderAddress host and port of the leader, if known
+     */
+    public static Frame.Builder notLeader(String message, Optional<String> leaderAddress) {
+        return frame(
+                Failure.newBuilder()
+                        .setCode(ErrorCode.NOT_LEADER.name())
+                        .setMessage(message)
+                        .setLeaderAddress(leaderAddress.orElse("")));
+    }
+
+    static Optional<String> leaderIn(IbisstandException refusal) {
+        return refusal.getCause() instanceof LeaderHint hint
+                ? Optional.of(hint.address())
+                : Optional.empty();
+    }
+
     private static Frame.Builder frame(Failure.Builder failure) {
         return Frame.newBuilder().setFailure(failure);
     }
