--- /dev/null
+++ b/agent/src/main/java/org/ibisstand/agent/Announcer.java
@@ -0,0 +1,117 @@
+package org.ibisstand.agent;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.settings.AgentSettings;
+import org.ibisstand.settings.BackendServer;
+import org.ibisstand.wire.ControlClient;
+import org.ibisstand.wire.message.AgentRecord;
+import org.ibisstand.wire.message.Announce;
+import org.ibisstand.wire.message.Frame;
+import org.ibisstand.wire.message.ServedModel;
+import org.tinylog.Logger;
+
+/**
+ * Announces the agent and what it serves to control, again and again within the lease.
+ *
+ * <p>For the control thread only.
+ */
+final class Announcer {
+    private static final int ANNOUNCEMENTS_PER_LEASE = 3;
+    private static final Duration ANNOUNCE_TIMEOUT = Duration.ofSeconds(3);
+
+    private final AgentSettings mSettings;
+    private final BootIdentifier mBoot;
+    private final String mAddress;
+    private final ControlClient mControl;
+    private final ScheduledExecutorService mControlThread;
+    private final Map<String, String> mModels = new TreeMap<>();
+    private boolean mLeaving;
+    private boolean mAnnounced;
+
+    Announcer(
+            AgentSettings settings,
+            BootIdentifier boot,
+            String address,
+            ControlClient control,
+            ScheduledExecutorService controlThread) {
+        mSettings = settings;
+        mBoot = boot;
+        mAddress = address;
+        mControl = control;
+        mControlThread = controlThread;
+        if (settings.backend() instanceof BackendServer.Engine engine) {
+            engine.models().forEach(one -> mModels.put(one.model(), one.weightsVersion()));
+        }
+    }
+
+    void start() {
+        long lease = mSettings.timing().leaseMilliseconds();
+        mControlThread.scheduleAtFixedRate(
+                this::announce, 0, lease / ANNOUNCEMENTS_PER_LEASE, TimeUnit.MILLISECONDS);
+    }
+
+    void loaded(String model, String weightsVersion) {
+        mModels.put(model, weightsVersion);
+        announce();
+    }
+
+    void leave() {
+        mLeaving = true;
+        announce();
+    }
+
+    boolean isAnnounced() {
+        return mAnnounced;
+    }
+
+    Map<String, String> models() {
+        return Map.copyOf(mModels);
+    }
+
+    private void announce() {
+        Announce announce = Announce.newBuilder().setAgent(record()).build();
+        Frame frame = Frame.newBuilder().setAnnounce(announce).build();
+        mControl.call(frame, ANNOUNCE_TIMEOUT)
+                .whenCompleteAsync((reply, failure) -> announced(failure), mControlThread);
+    }
+
+    private void announced(Throwable failure) {
+        boolean succeeded = failure == null;
+        if (succeeded != mAnnounced) {
+            Logger.info("event=announced success={} agent={}", succeeded, mSettings.agent());
+        }
+        mAnnounced = succeeded;
+    }
+
+    private AgentRecord record() {
+        AgentRecord.Builder record =
+                AgentRecord.newBuilder()
+                        .setAgent(mSettings.agent())
+                        .setAddress(mAddress)
+                        .setBoot(mBoot.value())
+                        .setZone(mSettings.zone())
+                        .setLeaving(mLeaving)
+                        .setLeaseMilliseconds(mSettings.timing().leaseMilliseconds());
+        mModels.forEach(
+                (model, version) ->
+                        record.addModels(
+                                ServedModel.newBuilder()
+                                        .setModel(model)
+                                        .setWeightsVersion(version)));
+        record.addAllServices(services());
+        return record.build();
+    }
+
+    private List<String> services() {
+        return switch (mSettings.backend()) {
+            case BackendServer.Engine engine -> List.of();
+            case BackendServer.PlainService service -> service.services();
+        };
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/ibisstand/agent/Offers.java
@@ -0,0 +1,25 @@
+package org.ibisstand.agent;
+
+import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.wire.message.Frame;
+import org.ibisstand.wire.message.Offer;
+
+/** Writes the offers of the queue as messages. */
+final class Offers {
+    private Offers() {}
+
+    static Frame.Builder frameOf(org.ibisstand.routing.Offer offer, BootIdentifier boot) {
+        Offer message =
+                Offer.newBuilder()
+                        .setHold(offer.hold())
+                        .setHeldPieces(offer.heldPieces())
+                        .setWaitMilliseconds(offer.waitMilliseconds())
+                        .setFirstTokenMilliseconds(offer.firstTokenMilliseconds())
+                        .setBytesPerMillisecond(offer.bytesPerMillisecond())
+                        .setQueued(offer.queued())
+                        .setCostOnOthersMilliseconds(offer.costOnOthersMilliseconds())
+                        .setBoot(boot.value())
+                        .build();
+        return Frame.newBuilder().setOffer(message);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -0,0 +1,146 @@
+package org.ibisstand.entry;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.ibisstand.base.AgentIdentifier;
+import org.ibisstand.base.Verdict;
+import org.ibisstand.routing.AgentLoads;
+import org.ibisstand.routing.Choice;
+import org.ibisstand.routing.OfferAnswer;
+import org.ibisstand.routing.Placement;
+import org.ibisstand.routing.ServerObservations;
+import org.ibisstand.wire.message.End;
+import org.tinylog.Logger;
+
+/** What all flows of one entry share; may be used by any thread. */
+final class FlowContext {
+    private static final long SHORTEST_BACKOFF_MILLISECONDS = 20;
+    private static final long LONGEST_BACKOFF_MILLISECONDS = 400;
+    private static final int LARGEST_SHIFT = 8;
+
+    private final Clock mClock;
+    private final AtomicReference<EntryState> mState;
+    private final AgentConnections mConnections;
+    private final Claims mClaims;
+    private final Placement mPlacement;
+    private final AgentLoads mLoads;
+    private final ServerObservations mObservations;
+    private final RandomGenerator mRandom;
+    private final EntryMetrics mMetrics;
+    private final AtomicInteger mInProgress = new AtomicInteger();
+
+    FlowContext(
+            Clock clock,
+            AtomicReference<EntryState> state,
+            AgentConnections connections,
+            Claims claims,
+            Placement placement,
+            AgentLoads loads,
+            ServerObservations observations,
+            RandomGenerator random,
+            EntryMetrics metrics) {
+        mClock = clock;
+        mState = state;
+        mConnections = connections;
+        mClaims = claims;
+        mPlacement = placement;
+        mLoads = loads;
+        mObservations = observations;
+        mRandom = random;
+        mMetrics = metrics;
+    }
+
+    Clock clock() {
+        return mClock;
+    }
+
+    Instant now() {
+        return mClock.instant();
+    }
+
+    EntryState state() {
+        return mState.get();
+    }
+
+    AgentConnections connections() {
+        return mConnections;
+    }
+
+    Claims claims() {
+        return mClaims;
+    }
+
+    Placement placement() {
+        return mPlacement;
+    }
+
+    AgentLoads loads() {
+        return mLoads;
+    }
+
+    EntryMetrics metrics() {
+        return mMetrics;
+    }
+
+    void requestBegun() {
+        mInProgress.incrementAndGet();
+    }
+
+    void requestOver() {
+        mInProgress.decrementAndGet();
+    }
+
+    int inProgress() {
+        return mInProgress.get();
+    }
+
+    /** Returns a pause before the next attempt, spread over its whole range. */
+    Duration backoff(int attempts) {
+        long ceiling = SHORTEST_BACKOFF_MILLISECONDS << Math.min(attempts, LARGEST_SHIFT);
+        long bounded = Math.min(ceiling, LONGEST_BACKOFF_MILLISECONDS);
+        return Duration.ofMillis(1 + mRandom.nextLong(bounded));
+    }
+
+    /** Compares what an offer predicted with what was observed. */
+    void observe(Optional<Choice> choice, End end, Instant submitted) {
+        Optional<OfferAnswer> offer = choice.flatMap(Choice::offer);
+        if (offer.isEmpty() || offer.get().firstTokenMilliseconds() <= 0) {
+            return;
+        }
+        Duration expected = milliseconds(offer.get().firstTokenMilliseconds());
+        Duration observed = milliseconds(end.getWaitMilliseconds() + firstByte(end));
+        mObservations.observed(choice.get().agent().agent(), expected, observed, now());
+    }
+
+    void completed(Call call, Optional<AgentIdentifier> agent) {
+        mMetrics.completed();
+        Logger.info(
+                "event=request request={} team={} verdict=completed agent={}",
+                call.request(),
+                call.team().name(),
+                agent.map(AgentIdentifier::value).orElse("-"));
+    }
+
+    void failed(Call call, Verdict verdict) {
+        mMetrics.failed(verdict);
+        Logger.warn(
+                "event=request request={} team={} verdict={} reason={}",
+                call.request(),
+                call.team().name(),
+                verdict.label(),
+                verdict);
+    }
+
+    private static double firstByte(End end) {
+        return end.getServiceMilliseconds();
+    }
+
+    private static Duration milliseconds(double value) {
+        return Duration.ofNanos((long) (value * 1e6));
+    }
+}
