--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -11,7 +11,7 @@
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.AgentLoads;
 import org.ibisstand.routing.Choice;
-import org.ibisstand.routing.OfferAnswer;
+import org.ibisstand.routing.Offer;
 import org.ibisstand.routing.Placement;
 import org.ibisstand.routing.ServerObservations;
 import org.ibisstand.wire.message.End;
@@ -108,12 +108,12 @@
 
     /** Compares what an offer predicted with what was observed. */
     void observe(Optional<Choice> choice, End end, Instant submitted) {
-        Optional<OfferAnswer> offer = choice.flatMap(Choice::offer);
+        Optional<Offer> offer = choice.flatMap(Choice::offer);
         if (offer.isEmpty() || offer.get().firstTokenMilliseconds() <= 0) {
             return;
         }
         Duration expected = milliseconds(offer.get().firstTokenMilliseconds());
-        Duration observed = milliseconds(end.getWaitMilliseconds() + firstByte(end));
+        Duration observed = milliseconds(end.getWaitMilliseconds() + end.getFirstByteMilliseconds());
         mObservations.observed(choice.get().agent().agent(), expected, observed, now());
     }
 
@@ -136,10 +136,6 @@
                 verdict);
     }
 
-    private static double firstByte(End end) {
-        return end.getServiceMilliseconds();
-    }
-
     private static Duration milliseconds(double value) {
         return Duration.ofNanos((long) (value * 1e6));
     }
--- a/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
+++ b/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
@@ -12,7 +12,6 @@
 import org.ibisstand.routing.AgentGroup;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
-import org.ibisstand.routing.OfferAnswer;
 import org.ibisstand.routing.Placement;
 import org.ibisstand.routing.PlacementRequest;
 import org.ibisstand.routing.PlacementRound;
@@ -101,8 +100,9 @@
 
     private void offered(AgentView agent, Frame frame, Throwable failure) {
         if (failure == null && frame.hasOffer()) {
-            OfferAnswer answer = answerOf(frame.getOffer());
-            perform(round().onOffer(agent.agent(), answer, mContext.now()));
+            BootIdentifier boot = new BootIdentifier(frame.getOffer().getBoot());
+            org.ibisstand.routing.Offer offer = read(frame.getOffer());
+            perform(round().onOffer(agent.agent(), boot, offer, mContext.now()));
         } else {
             perform(round().onNoOffer(agent.agent(), mContext.now()));
         }
@@ -112,15 +112,14 @@
         return mRound.orElseThrow();
     }
 
-    private static OfferAnswer answerOf(Offer offer) {
-        return new OfferAnswer(
+    private static org.ibisstand.routing.Offer read(Offer offer) {
+        return new org.ibisstand.routing.Offer(
                 offer.getHold(),
                 offer.getHeldPieces(),
                 offer.getWaitMilliseconds(),
                 offer.getFirstTokenMilliseconds(),
                 offer.getBytesPerMillisecond(),
                 offer.getQueued(),
-                offer.getCostOnOthersMilliseconds(),
-                new BootIdentifier(offer.getBoot()));
+                offer.getCostOnOthersMilliseconds());
     }
 }
--- a/entry/src/main/java/org/ibisstand/entry/Submits.java
+++ b/entry/src/main/java/org/ibisstand/entry/Submits.java
@@ -6,7 +6,7 @@
 import org.ibisstand.base.PrefixChain;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
-import org.ibisstand.routing.OfferAnswer;
+import org.ibisstand.routing.Offer;
 import org.ibisstand.wire.message.AttemptIdentifier;
 import org.ibisstand.wire.message.OfferRequest;
 import org.ibisstand.wire.message.Submit;
@@ -36,7 +36,7 @@
                         .setStream(call.isStream())
                         .setBoot(agent.boot().value())
                         .setHopAttempt(hopAttempt);
-        choice.flatMap(Choice::offer).map(OfferAnswer::hold).ifPresent(submit::setHold);
+        choice.flatMap(Choice::offer).map(Offer::hold).ifPresent(submit::setHold);
         attempt.ifPresent(submit::setAttempt);
         switch (call.target()) {
             case Call.Target.Model model -> addModel(submit, model);
