--- a/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
@@ -53,8 +53,7 @@
                     onControl(() -> offer(connection, correlation, frame.getOfferRequest()));
             case SUBMIT -> submit(connection, correlation, frame.getSubmit());
             case ACKNOWLEDGE ->
-                    acknowledge(
-                            connection, correlation, frame.getAcknowledge().getNextSequence());
+                    acknowledge(connection, correlation, frame.getAcknowledge().getNextSequence());
             case CANCEL -> cancel(connection, correlation);
             case RESUME -> resume(connection, correlation, frame.getResume());
             case TOMBSTONE ->
@@ -153,7 +152,8 @@
                 .thenAccept(
                         reply ->
                                 connection.send(
-                                        correlation, Frame.newBuilder().setEngineOrderReply(reply)));
+                                        correlation,
+                                        Frame.newBuilder().setEngineOrderReply(reply)));
     }
 
     private static PrefixChain chainOf(OfferRequest request) {
--- a/agent/src/main/java/org/ibisstand/agent/Announcer.java
+++ b/agent/src/main/java/org/ibisstand/agent/Announcer.java
@@ -66,6 +66,10 @@
         announce();
     }
 
+    boolean isLeaving() {
+        return mLeaving;
+    }
+
     boolean isAnnounced() {
         return mAnnounced;
     }
--- a/agent/src/main/java/org/ibisstand/agent/Attempts.java
+++ b/agent/src/main/java/org/ibisstand/agent/Attempts.java
@@ -66,9 +66,7 @@
             mEntries.put(key, new Entry<>(Optional.of(attempt), Optional.empty()));
             return new State.Started<>();
         }
-        return known.mAttempt
-                .<State<T>>map(State.Known::new)
-                .orElseGet(State.Tombstoned::new);
+        return known.mAttempt.<State<T>>map(State.Known::new).orElseGet(State.Tombstoned::new);
     }
 
     /** Returns the attempt if it is running or has run. */
--- a/agent/src/main/java/org/ibisstand/agent/Execution.java
+++ b/agent/src/main/java/org/ibisstand/agent/Execution.java
@@ -39,6 +39,7 @@
     private Stage mStage = Stage.WAITING;
     private Instant mDispatched;
     private boolean mFirstSeen;
+    private Optional<Instant> mFirstByte = Optional.empty();
     private int mHeldPieces;
     private Optional<ResponseHead.Builder> mHead = Optional.empty();
     private Optional<Outcome> mOutcome = Optional.empty();
@@ -90,6 +91,15 @@
         return mDispatched;
     }
 
+    /** Notes when the first byte of the body arrived. */
+    void firstByte(Instant now) {
+        mFirstByte = Optional.of(now);
+    }
+
+    Optional<Instant> firstByte() {
+        return mFirstByte;
+    }
+
     int heldPieces() {
         return mHeldPieces;
     }
--- a/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
+++ b/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
@@ -74,6 +74,11 @@
         return call;
     }
 
+    /** Returns the client with kept connections, for requests that may run more than once. */
+    AsyncHttpClient client() {
+        return mPooled;
+    }
+
     private Request request(Submit submit, Duration timeout) {
         HttpHeaders headers = new DefaultHttpHeaders();
         for (Header header : submit.getHeadersList()) {
--- /dev/null
+++ b/agent/src/main/java/org/ibisstand/agent/HttpEngineLoader.java
@@ -0,0 +1,54 @@
+package org.ibisstand.agent;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Response;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.settings.JsonReader;
+
+/** Sends load orders to the engine over HTTP. */
+final class HttpEngineLoader implements EngineLoader {
+    private static final String LOAD_PATH = "/admin/load";
+    private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(60);
+    private static final int OK = 200;
+
+    /**
+     * The body of a load order.
+     *
+     * @param model the model's name
+     * @param weightsVersion the version to serve
+     * @param fencingNumber grows with every order; engines may refuse lower ones
+     */
+    record LoadOrder(String model, String weightsVersion, long fencingNumber) {}
+
+    private final AsyncHttpClient mClient;
+    private final String mUrl;
+    private final JsonReader mJson = JsonReader.create();
+
+    HttpEngineLoader(AsyncHttpClient client, String baseUrl) {
+        mClient = client;
+        mUrl = baseUrl + LOAD_PATH;
+    }
+
+    @Override
+    public CompletableFuture<Void> load(String model, String weightsVersion, long fencingNumber) {
+        byte[] body = mJson.write(new LoadOrder(model, weightsVersion, fencingNumber));
+        return mClient.preparePost(mUrl)
+                .setHeader("content-type", "application/json")
+                .setBody(body)
+                .setRequestTimeout(LOAD_TIMEOUT)
+                .execute()
+                .toCompletableFuture()
+                .thenAccept(HttpEngineLoader::requireOk);
+    }
+
+    private static void requireOk(Response response) {
+        if (response.getStatusCode() != OK) {
+            throw new IbisstandException(
+                    ErrorCode.BACKEND_FAILED,
+                    "the engine answered a load order with " + response.getStatusCode());
+        }
+    }
+}
--- a/agent/src/main/java/org/ibisstand/agent/Streams.java
+++ b/agent/src/main/java/org/ibisstand/agent/Streams.java
@@ -68,9 +68,7 @@
         for (OutboundStream stream : mByNumber.values()) {
             if (stream.detach(connection)) {
                 mControlThread.schedule(
-                        () -> giveUpIfDetached(stream),
-                        mResumeMilliseconds,
-                        TimeUnit.MILLISECONDS);
+                        () -> giveUpIfDetached(stream), mResumeMilliseconds, TimeUnit.MILLISECONDS);
             }
         }
         mByPlace.keySet().removeIf(place -> place.connection() == connection);
--- a/agent/src/main/java/org/ibisstand/agent/UsageScanner.java
+++ b/agent/src/main/java/org/ibisstand/agent/UsageScanner.java
@@ -10,8 +10,10 @@
 /** Finds the token counts and the end mark in the last bytes of an engine's answer. */
 final class UsageScanner {
     private static final int TAIL_BYTES = 4096;
-    private static final Pattern CACHED_TOKENS = Pattern.compile("\"cached_tokens\"\\s*:\\s*(\\d{1,9})");
-    private static final Pattern PROMPT_TOKENS = Pattern.compile("\"prompt_tokens\"\\s*:\\s*(\\d{1,9})");
+    private static final Pattern CACHED_TOKENS =
+            Pattern.compile("\"cached_tokens\"\\s*:\\s*(\\d{1,9})");
+    private static final Pattern PROMPT_TOKENS =
+            Pattern.compile("\"prompt_tokens\"\\s*:\\s*(\\d{1,9})");
     private static final String END_MARK = "data: [DONE]";
 
     private byte[] mTail = new byte[0];
--- a/agent/src/main/java/org/ibisstand/agent/Workload.java
+++ b/agent/src/main/java/org/ibisstand/agent/Workload.java
@@ -232,6 +232,7 @@
     }
 
     private void first(Execution execution) {
+        execution.firstByte(mClock.instant());
         mQueue.firstToken(execution.work());
         mMetrics.firstByte(Duration.between(execution.dispatched(), mClock.instant()));
         poll();
@@ -318,6 +319,8 @@
                                 milliseconds(execution.received(), execution.dispatched()))
                         .setServiceMilliseconds(
                                 milliseconds(execution.dispatched(), mClock.instant()));
+        Instant first = execution.firstByte().orElseGet(mClock::instant);
+        end.setFirstByteMilliseconds(milliseconds(execution.dispatched(), first));
         execution.usage().cachedTokens().ifPresent(end::setCachedTokens);
         execution.usage().promptTokens().ifPresent(end::setPromptTokens);
         return end;
@@ -378,8 +381,7 @@
 
         @Override
         public void failed(boolean written, ErrorCode code, String message) {
-            mControlThread.execute(
-                    () -> Workload.this.failed(mExecution, written, code, message));
+            mControlThread.execute(() -> Workload.this.failed(mExecution, written, code, message));
         }
     }
 }
--- a/entry/src/main/java/org/ibisstand/entry/AgentConnections.java
+++ b/entry/src/main/java/org/ibisstand/entry/AgentConnections.java
@@ -49,8 +49,7 @@
 
     /** Returns how many connections are open. */
     int open() {
-        return (int)
-                mClients.values().stream().filter(one -> one.connection().isPresent()).count();
+        return (int) mClients.values().stream().filter(one -> one.connection().isPresent()).count();
     }
 
     private static InetSocketAddress parse(String address) {
--- a/entry/src/main/java/org/ibisstand/entry/CallerContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerContext.java
@@ -18,8 +18,7 @@
     private final AtomicLong mNextRequest = new AtomicLong(1);
     private final AtomicBoolean mDraining = new AtomicBoolean();
 
-    CallerContext(
-            CallReader reader, FlowContext flows, BootIdentifier boot, int maximumRequests) {
+    CallerContext(CallReader reader, FlowContext flows, BootIdentifier boot, int maximumRequests) {
         mReader = reader;
         mFlows = flows;
         mBoot = boot;
--- a/entry/src/main/java/org/ibisstand/entry/CallerInitializer.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerInitializer.java
@@ -55,12 +55,8 @@
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
                 new IdleStateHandler(
-                        0,
-                        0,
-                        mSettings.timing().idleTimeoutMilliseconds(),
-                        TimeUnit.MILLISECONDS));
-        pipeline.addLast(
-                new CleartextHttp2ServerUpgradeHandler(codec, upgrade, http2Connection()));
+                        0, 0, mSettings.timing().idleTimeoutMilliseconds(), TimeUnit.MILLISECONDS));
+        pipeline.addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, http2Connection()));
         pipeline.addLast(new FirstHttp1Message(timeout));
     }
 
--- a/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
@@ -108,8 +108,7 @@
                         boot,
                         new SecureRandom());
         AgentConnections agents = new AgentConnections(wire);
-        ControlWatch watch =
-                new ControlWatch(settings.process(), controlThread, state, agents);
+        ControlWatch watch = new ControlWatch(settings.process(), controlThread, state, agents);
         ControlClient control = connectControl(wire, clock, settings, watch);
         FlowContext flows = flows(clock, state, agents, control, metrics);
         CallerContext callers =
@@ -188,7 +187,8 @@
     }
 
     private void awaitDrained(CompletableFuture<Void> stopped, long limitMilliseconds) {
-        mCallers.forEach(channel -> channel.pipeline().fireUserEventTriggered(ConnectionDrain.EVENT));
+        mCallers.forEach(
+                channel -> channel.pipeline().fireUserEventTriggered(ConnectionDrain.EVENT));
         if (mCallerContext.inProgress() == 0 || mClock.millis() >= limitMilliseconds) {
             Logger.info("event=stopped role=entry in_progress={}", mCallerContext.inProgress());
             // Answers that are written already must still leave the process.
--- a/entry/src/main/java/org/ibisstand/entry/EntryState.java
+++ b/entry/src/main/java/org/ibisstand/entry/EntryState.java
@@ -67,12 +67,7 @@
     /** Returns this state with other agents. */
     EntryState withFleet(Fleet fleet, Map<AgentIdentifier, String> addresses) {
         return new EntryState(
-                mRevision,
-                mConfirmed,
-                mConfiguration,
-                mTeamsByToken,
-                fleet,
-                Map.copyOf(addresses));
+                mRevision, mConfirmed, mConfiguration, mTeamsByToken, fleet, Map.copyOf(addresses));
     }
 
     long revision() {
--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -65,8 +65,7 @@
     void start() {
         long left = mCall.timeLeft(mContext.now()).toMillis();
         mDeadlineTimer =
-                Optional.of(
-                        mExecutor.schedule(this::deadlinePassed, left, TimeUnit.MILLISECONDS));
+                Optional.of(mExecutor.schedule(this::deadlinePassed, left, TimeUnit.MILLISECONDS));
         place();
     }
 
@@ -328,8 +327,7 @@
 
     private static Verdict asMayHaveRun(Verdict verdict) {
         return switch (verdict) {
-            case Verdict.NotRun notRun ->
-                    new Verdict.MayHaveRun(notRun.code(), notRun.message());
+            case Verdict.NotRun notRun -> new Verdict.MayHaveRun(notRun.code(), notRun.message());
             case Verdict.MayHaveRun mayHaveRun -> mayHaveRun;
             case Verdict.Completed completed ->
                     new Verdict.MayHaveRun(ErrorCode.STREAM_BROKEN, "the answer is not complete");
--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -113,7 +113,8 @@
             return;
         }
         Duration expected = milliseconds(offer.get().firstTokenMilliseconds());
-        Duration observed = milliseconds(end.getWaitMilliseconds() + end.getFirstByteMilliseconds());
+        Duration observed =
+                milliseconds(end.getWaitMilliseconds() + end.getFirstByteMilliseconds());
         mObservations.observed(choice.get().agent().agent(), expected, observed, now());
     }
 
--- a/entry/src/main/java/org/ibisstand/entry/HttpAnswerSink.java
+++ b/entry/src/main/java/org/ibisstand/entry/HttpAnswerSink.java
@@ -56,8 +56,7 @@
     public void head(int status, List<Header> headers) {
         mStarted = true;
         HttpResponse response =
-                new DefaultHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         setHeaders(response, headers);
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         mEventStream = type.startsWith(EVENT_STREAM);
--- a/entry/src/main/java/org/ibisstand/entry/InboundStream.java
+++ b/entry/src/main/java/org/ibisstand/entry/InboundStream.java
@@ -211,7 +211,9 @@
         return new Verdict.MayHaveRun(ErrorCode.STREAM_BROKEN, message);
     }
 
-    /** Brings answers to the event loop of the caller; those of an earlier connection are dropped. */
+    /**
+     * Brings answers to the event loop of the caller; those of an earlier connection are dropped.
+     */
     private final class Answers implements AnswerHandler {
         private final int mOf;
 
--- a/wire/src/main/java/org/ibisstand/wire/ControlClient.java
+++ b/wire/src/main/java/org/ibisstand/wire/ControlClient.java
@@ -112,8 +112,7 @@
         prefer(member, Failures.leaderIn(refused));
         long pause = 1 + mContext.random().nextLong(LONGEST_PAUSE_MILLISECONDS);
         mContext.group()
-                .schedule(
-                        () -> attempt(request, deadline, answer), pause, TimeUnit.MILLISECONDS);
+                .schedule(() -> attempt(request, deadline, answer), pause, TimeUnit.MILLISECONDS);
     }
 
     private void prefer(int failed, Optional<String> leader) {
@@ -137,11 +136,7 @@
 
     private static boolean isAboutLeader(ErrorCode code) {
         return switch (code) {
-            case NOT_LEADER,
-                    NO_QUORUM,
-                    AGENT_UNREACHABLE,
-                    CONNECTION_LOST,
-                    DEADLINE_EXCEEDED ->
+            case NOT_LEADER, NO_QUORUM, AGENT_UNREACHABLE, CONNECTION_LOST, DEADLINE_EXCEEDED ->
                     true;
             default -> false;
         };
