--- a/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
@@ -87,14 +87,7 @@
                         NioIoHandler.newFactory());
         EventLoop controlThread = new DefaultEventLoop(new DefaultThreadFactory("control"));
         MetricRegistry metrics = new MetricRegistry();
-        WireContext wire =
-                new WireContext(
-                        traffic,
-                        WireSettings.standard(),
-                        settings.agent(),
-                        "agent",
-                        boot,
-                        new SecureRandom());
+        WireContext wire = wireContext(settings, traffic, boot);
         ControlClient control =
                 ControlClient.connect(
                         wire, clock, controlMembers(settings), (connection, frame) -> {});
@@ -213,6 +206,17 @@
         return announcer.isAnnounced() ? Optional.empty() : Optional.of("not announced");
     }
 
+    private static WireContext wireContext(
+            AgentSettings settings, EventLoopGroup traffic, BootIdentifier boot) {
+        return new WireContext(
+                traffic,
+                WireSettings.standard(),
+                settings.agent(),
+                "agent",
+                boot,
+                new SecureRandom());
+    }
+
     private static List<InetSocketAddress> controlMembers(AgentSettings settings) {
         return settings.controlAddresses().stream().map(AgentDaemon::socketAddress).toList();
     }
