--- a/routing/src/main/java/org/ibisstand/routing/RetryPolicy.java
+++ b/routing/src/main/java/org/ibisstand/routing/RetryPolicy.java
@@ -67,7 +67,7 @@
     private static boolean costsNothing(Verdict verdict) {
         return verdict instanceof Verdict.NotRun notRun
                 && switch (notRun.code()) {
-                    case AGENT_UNREACHABLE, AGENT_LEAVING, BACKEND_UNREACHABLE, REVISION_MISMATCH ->
+                    case AGENT_UNREACHABLE, AGENT_LEAVING, BACKEND_UNREACHABLE, BOOT_MISMATCH ->
                             true;
                     default -> false;
                 };
