--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -3,7 +3,6 @@
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +15,7 @@
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
+import org.ibisstand.routing.Observation;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.AttemptIdentifier;
 import org.ibisstand.wire.message.ClaimReply;
@@ -45,7 +45,7 @@
     private Optional<AgentIdentifier> mAgent = Optional.empty();
     private Verdict mLastVerdict;
     private Optional<Choice> mChoice = Optional.empty();
-    private Instant mSubmitted;
+    private Optional<Observation> mObservation = Optional.empty();
     private int mAttempts;
     private boolean mOver;
 
@@ -59,7 +59,6 @@
         mSink = sink;
         mAnswer = new AnswerAssembler(sink, call.isStream());
         mLastVerdict = new Verdict.NotRun(ErrorCode.NO_AGENT_AVAILABLE, "no live agent serves it");
-        mSubmitted = context.now();
     }
 
     void start() {
@@ -74,6 +73,7 @@
         if (!mOver) {
             over();
             mStream.ifPresent(InboundStream::cancel);
+            attemptEnded();
             mContext.metrics().callerGone();
         }
     }
@@ -209,7 +209,7 @@
                     true);
             return;
         }
-        mSubmitted = mContext.now();
+        mObservation = mContext.observe(mChoice);
         mContext.loads().started(agent.agent());
         Submit submit = Submits.of(mCall, mChoice, agent, attempt, mContext.now(), mAttempts);
         mStream =
@@ -231,6 +231,8 @@
 
     @Override
     public void data(byte[] bytes, Runnable consumed) {
+        mObservation.ifPresent(mContext::firstByteSeen);
+        mObservation = Optional.empty();
         if (!mOver) {
             mAnswer.data(bytes, consumed);
             mDeadlineTimer.filter(timer -> mAnswer.isStarted()).ifPresent(one -> one.cancel(false));
@@ -240,7 +242,6 @@
     @Override
     public void end(End end) {
         attemptEnded();
-        mContext.observe(mChoice, end, mSubmitted);
         if (!mOver) {
             over();
             mAnswer.end();
@@ -300,6 +301,8 @@
     private void attemptEnded() {
         mStream.ifPresent(stream -> mAgent.ifPresent(mContext.loads()::finished));
         mStream = Optional.empty();
+        mObservation.ifPresent(mContext::abandoned);
+        mObservation = Optional.empty();
     }
 
     private void deadlinePassed() {
--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -11,10 +11,10 @@
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.AgentLoads;
 import org.ibisstand.routing.Choice;
+import org.ibisstand.routing.Observation;
 import org.ibisstand.routing.Offer;
 import org.ibisstand.routing.Placement;
 import org.ibisstand.routing.ServerObservations;
-import org.ibisstand.wire.message.End;
 import org.tinylog.Logger;
 
 /** What all flows of one entry share; may be used by any thread. */
@@ -22,6 +22,7 @@
     private static final long SHORTEST_BACKOFF_MILLISECONDS = 20;
     private static final long LONGEST_BACKOFF_MILLISECONDS = 400;
     private static final int LARGEST_SHIFT = 8;
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private final Clock mClock;
     private final AtomicReference<EntryState> mState;
@@ -106,16 +107,24 @@
         return Duration.ofMillis(1 + mRandom.nextLong(bounded));
     }
 
-    /** Compares what an offer predicted with what was observed. */
-    void observe(Optional<Choice> choice, End end, Instant submitted) {
-        Optional<Offer> offer = choice.flatMap(Choice::offer);
-        if (offer.isEmpty() || offer.get().firstTokenMilliseconds() <= 0) {
-            return;
-        }
-        Duration expected = milliseconds(offer.get().firstTokenMilliseconds());
-        Duration observed =
-                milliseconds(end.getWaitMilliseconds() + end.getFirstByteMilliseconds());
-        mObservations.observed(choice.get().agent().agent(), expected, observed, now());
+    /** Begins to compare what an offer predicted with what happens. */
+    Optional<Observation> observe(Optional<Choice> choice) {
+        return choice.flatMap(one -> one.offer().map(offer -> observe(one.agent().agent(), offer)));
+    }
+
+    private Observation observe(AgentIdentifier agent, Offer offer) {
+        Duration expected =
+                Duration.ofNanos(
+                        (long) (offer.firstTokenMilliseconds() * NANOSECONDS_PER_MILLISECOND));
+        return mObservations.started(agent, expected, now());
+    }
+
+    void firstByteSeen(Observation observation) {
+        mObservations.ended(observation, now());
+    }
+
+    void abandoned(Observation observation) {
+        mObservations.abandoned(observation, now());
     }
 
     void completed(Call call, Optional<AgentIdentifier> agent) {
@@ -136,8 +145,4 @@
                 verdict.label(),
                 verdict);
     }
-
-    private static Duration milliseconds(double value) {
-        return Duration.ofNanos((long) (value * 1e6));
-    }
 }
