Drop only the oldest cache entries when events are lost

Cause: every gap in the events put all entries not used since in doubt for five seconds, and with one event in a hundred lost an index was always in doubt.

--- a/routing/src/main/java/org/ibisstand/routing/CacheIndex.java
+++ b/routing/src/main/java/org/ibisstand/routing/CacheIndex.java
@@ -8,24 +8,39 @@
 /**
  * What one engine's prefix cache holds, followed by the engine's numbered cache events.
  *
- * <p>Lost events leave entries that may be gone; those are believed for a short time only, unless
- * an answer or an event confirms them. A wrong entry costs a recomputation and never a wrong
- * answer.
+ * <p>Engines evict what was used least recently. So as many of the entries used least recently are
+ * dropped as events were lost, and when an answer shows that a piece was gone, so are all entries
+ * used before it. Besides, entries older than a gap are believed for a bounded time only. A wrong
+ * entry costs a recomputation and never a wrong answer. For one thread only.
  */
 public final class CacheIndex {
-    /** How long entries older than a gap in the events are still believed. */
-    public static final Duration DOUBT = Duration.ofSeconds(5);
+    /** How long entries older than a gap in the events are still believed without a new use. */
+    public static final Duration DOUBT = Duration.ofSeconds(60);
 
     /** The most pieces that the index remembers. */
     public static final int MAXIMUM_PIECES = 400_000;
 
+    // A stamp lasts long enough that 31 bits count a year from the engine's boot.
+    private static final int STAMP_MILLISECONDS = 16;
+    // Old entries are dropped in batches, so that losses cost little in a large index.
+    private static final int BATCHES = 64;
+
+    /**
+     * The leading pieces of a prompt that the index gave at one moment.
+     *
+     * @param pieces how many they are
+     * @param stamps when each was last used
+     */
+    record Belief(int pieces, int[] stamps) {}
+
     private final Clock mClock;
     private final LongStampMap mPieces = new LongStampMap();
+    private Instant mStart;
     private long mNextSequence;
     private boolean mSequenceKnown;
-    // Grows with every gap; an entry's stamp is the epoch that last confirmed it.
-    private int mEpoch = 1;
+    private long mMissed;
     private int mDoubtBelow;
+    private int mLatestDoubt;
     private Instant mLatestGap = Instant.EPOCH;
     private Instant mDoubtEnds = Instant.EPOCH;
     private long mGaps;
@@ -33,6 +48,7 @@
 
     private CacheIndex(Clock clock) {
         mClock = clock;
+        mStart = clock.instant();
     }
 
     /**
@@ -98,6 +114,8 @@
         mPieces.clear();
         mSequenceKnown = false;
         mDoubtBelow = 0;
+        mMissed = 0;
+        mStart = mClock.instant();
     }
 
     /**
@@ -109,16 +127,26 @@
         store(chain.hashes());
     }
 
+    /** Returns what the index gives for a prompt, to be compared with the answer's report. */
+    Belief believe(PrefixChain chain) {
+        int held = heldPieces(chain);
+        int[] stamps = new int[held];
+        for (int piece = 0; piece < held; piece++) {
+            stamps[piece] = mPieces.get(chain.hash(piece));
+        }
+        return new Belief(held, stamps);
+    }
+
     /**
      * Corrects the index by what an answer reports of the cache.
      *
+     * @param belief what the index gave when the work was sent
      * @param cachedPieces the leading pieces that the engine did not have to compute
-     * @param believedPieces the leading pieces that the index gave when the work was sent
      */
-    public void answered(int cachedPieces, int believedPieces) {
-        if (cachedPieces < believedPieces) {
+    void answered(Belief belief, int cachedPieces) {
+        if (cachedPieces < belief.pieces()) {
             mCorrections++;
-            doubtEarlier();
+            mPieces.removeBelow(belief.stamps()[cachedPieces]);
         }
     }
 
@@ -168,6 +196,7 @@
         if (sequence > mNextSequence) {
             mGaps++;
             doubtEarlier();
+            missed(sequence - mNextSequence);
         }
         mNextSequence = sequence + 1;
         return true;
@@ -175,17 +204,26 @@
 
     private void store(long[] hashes) {
         sweep();
+        int stamp = stamp();
         for (long hash : hashes) {
-            mPieces.put(hash, mEpoch);
+            mPieces.put(hash, stamp);
         }
         if (mPieces.size() > MAXIMUM_PIECES) {
-            mPieces.clear();
+            mPieces.removeOldest(MAXIMUM_PIECES / BATCHES);
+        }
+    }
+
+    private void missed(long events) {
+        mMissed += events;
+        if (mMissed > mPieces.size() / BATCHES) {
+            mPieces.removeOldest((int) Math.min(mMissed, mPieces.size()));
+            mMissed = 0;
         }
     }
 
     private void doubtEarlier() {
         sweep();
-        mEpoch++;
+        mLatestDoubt = stamp() + 1;
         mLatestGap = mClock.instant();
         if (mDoubtBelow == 0) {
             startDoubt();
@@ -193,14 +231,14 @@
     }
 
     private void startDoubt() {
-        mDoubtBelow = mEpoch;
+        mDoubtBelow = mLatestDoubt;
         mDoubtEnds = mLatestGap.plus(DOUBT);
     }
 
     private void sweep() {
         while (mDoubtBelow != 0 && !mClock.instant().isBefore(mDoubtEnds)) {
             mPieces.removeBelow(mDoubtBelow);
-            if (mEpoch > mDoubtBelow) {
+            if (mLatestDoubt > mDoubtBelow) {
                 // A gap during the first doubt starts a doubt of its own, which ends in its turn.
                 startDoubt();
             } else {
@@ -208,4 +246,9 @@
             }
         }
     }
+
+    private int stamp() {
+        long age = Duration.between(mStart, mClock.instant()).toMillis();
+        return 1 + (int) (age / STAMP_MILLISECONDS);
+    }
 }
--- a/routing/src/main/java/org/ibisstand/routing/LongStampMap.java
+++ b/routing/src/main/java/org/ibisstand/routing/LongStampMap.java
@@ -1,5 +1,7 @@
 package org.ibisstand.routing;
 
+import java.util.Arrays;
+
 /**
  * Maps 64-bit hashes to 32-bit stamps in two primitive arrays.
  *
@@ -67,6 +69,22 @@
         }
     }
 
+    /** Removes the entries with the lowest stamps, at most as many as there are. */
+    void removeOldest(int count) {
+        if (count >= size()) {
+            clear();
+            return;
+        }
+        int[] sorted = sortedStamps();
+        int threshold = sorted[count - 1];
+        int below = 0;
+        while (sorted[below] < threshold) {
+            below++;
+        }
+        removeBelow(threshold);
+        removeSome(threshold, count - below);
+    }
+
     void clear() {
         mKeys = new long[MINIMUM_SLOTS];
         mStamps = new int[MINIMUM_SLOTS];
@@ -82,6 +100,35 @@
         return (long) mKeys.length * BYTES_PER_SLOT;
     }
 
+    private int[] sortedStamps() {
+        int[] sorted = new int[size()];
+        int next = 0;
+        if (mZeroStamp != ABSENT) {
+            sorted[next++] = mZeroStamp;
+        }
+        for (int slot = 0; slot < mKeys.length; slot++) {
+            if (mKeys[slot] != 0) {
+                sorted[next++] = mStamps[slot];
+            }
+        }
+        Arrays.sort(sorted);
+        return sorted;
+    }
+
+    /** Removes a number of entries that all have the same stamp. */
+    private void removeSome(int stamp, int count) {
+        int left = count;
+        for (long key : mKeys.clone()) {
+            if (left > 0 && key != 0 && get(key) == stamp) {
+                remove(key);
+                left--;
+            }
+        }
+        if (left > 0 && mZeroStamp == stamp) {
+            mZeroStamp = ABSENT;
+        }
+    }
+
     private int find(long key) {
         int mask = mKeys.length - 1;
         int slot = home(key, mask);
--- a/routing/src/main/java/org/ibisstand/routing/QueuedWork.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueuedWork.java
@@ -7,7 +7,8 @@
     final double mDeadline;
     double mBytes;
     boolean mLong;
-    int mBelievedPieces;
+    int mHeldPieces;
+    CacheIndex.Belief mBelief;
     int mEnginePriority;
     double mDispatched;
     double mLastToken;
--- a/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
+++ b/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
@@ -77,7 +77,7 @@
         double others = mForecast.delayOfOthers(mWaiting.values(), level, prefill, now);
         return new Offer(
                 identifier,
-                candidate.mBelievedPieces,
+                candidate.mHeldPieces,
                 wait,
                 firstToken(wait, prefill),
                 rate,
@@ -169,7 +169,7 @@
             mPending.remove(ended.question().chain());
         }
         mServiceTime.observed(now - ended.mDispatched);
-        cachedPieces.ifPresent(cached -> mIndex.answered(cached, ended.mBelievedPieces));
+        cachedPieces.ifPresent(cached -> mIndex.answered(ended.mBelief, cached));
     }
 
     /**
@@ -253,14 +253,14 @@
         mPending.remove(work.question().chain());
         estimatePrefill(work, now);
         mPending.add(work.question().chain());
-        work.mBelievedPieces = mIndex.heldPieces(work.question().chain());
+        work.mBelief = mIndex.believe(work.question().chain());
         work.mDispatched = now;
         work.mEnginePriority = mOrder.level(work, now);
         mRunning.put(work.mWork.identifier(), work);
         double cost = Math.max(1, work.mBytes / mSpeed.bytesPerMillisecond(now));
         mShares.served(work.team(), cost);
         return new QueueAction.Dispatch(
-                work.mWork.identifier(), work.mEnginePriority, work.mBelievedPieces);
+                work.mWork.identifier(), work.mEnginePriority, work.mBelief.pieces());
     }
 
     private QueuedWork estimate(Work work, double now) {
@@ -272,8 +272,8 @@
 
     private void estimatePrefill(QueuedWork work, double now) {
         var chain = work.question().chain();
-        work.mBelievedPieces = mPending.extend(chain, mIndex.heldPieces(chain));
-        work.mBytes = chain.promptBytes() - (double) work.mBelievedPieces * chain.pieceBytes();
+        work.mHeldPieces = mPending.extend(chain, mIndex.heldPieces(chain));
+        work.mBytes = chain.promptBytes() - (double) work.mHeldPieces * chain.pieceBytes();
         double rate = mSpeed.bytesPerMillisecond(now) * mSpeed.slowness(now);
         work.mLong = work.mBytes / rate > mOrder.longMilliseconds();
     }
