Follow the engine's events and keep work away from a dead backend server

Cause: the agent's index only learned from answers, and an agent whose backend server is down had the shortest queue and drew every request. Ruled out: letting retries cover it, since each request would pay a refused attempt.

--- a/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
@@ -1,74 +1,48 @@
 package org.ibisstand.agent;
 
-import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.DefaultEventLoop;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
-import java.time.Clock;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.administration.AdministrationRoutes;
 import org.ibisstand.administration.AdministrationServer;
-import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.Daemon;
 import org.ibisstand.base.LogLine;
-import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.settings.Address;
 import org.ibisstand.settings.AgentSettings;
+import org.ibisstand.settings.BackendServer;
 import org.ibisstand.wire.ControlClient;
-import org.ibisstand.wire.WireContext;
 import org.ibisstand.wire.WireServer;
-import org.ibisstand.wire.WireSettings;
 
 /** The process beside one backend server: queues, runs and records the requests sent to it. */
 public final class AgentDaemon implements Daemon {
-    private static final int TRAFFIC_THREADS = 2;
     private static final long EXPIRY_MILLISECONDS = 1_000;
     private static final long DRAIN_POLL_MILLISECONDS = 20;
 
-    private final AgentSettings mSettings;
-    private final EventLoopGroup mTraffic;
-    private final EventLoop mControlThread;
+    private final AgentRuntime mRuntime;
     private final WireServer mServer;
     private final HttpBackend mBackend;
     private final ControlClient mControl;
     private final AdministrationServer mAdministration;
-    private final Workload mWorkload;
-    private final Streams mStreams;
+    private final AgentWork mWork;
     private final Announcer mAnnouncer;
-    private final Clock mClock;
 
     private AgentDaemon(
-            AgentSettings settings,
-            EventLoopGroup traffic,
-            EventLoop controlThread,
+            AgentRuntime runtime,
             WireServer server,
             HttpBackend backend,
             ControlClient control,
             AdministrationServer administration,
-            Workload workload,
-            Streams streams,
-            Announcer announcer,
-            Clock clock) {
-        mSettings = settings;
-        mTraffic = traffic;
-        mControlThread = controlThread;
+            AgentWork work,
+            Announcer announcer) {
+        mRuntime = runtime;
         mServer = server;
         mBackend = backend;
         mControl = control;
         mAdministration = administration;
-        mWorkload = workload;
-        mStreams = streams;
+        mWork = work;
         mAnnouncer = announcer;
-        mClock = clock;
     }
 
     /**
@@ -78,58 +52,36 @@
      * @throws org.ibisstand.base.IbisstandException with PORT_IN_USE if it cannot listen
      */
     public static AgentDaemon start(AgentSettings settings) {
-        MonotonicClock clock = MonotonicClock.start();
-        BootIdentifier boot = BootIdentifier.create();
-        EventLoopGroup traffic =
-                new MultiThreadIoEventLoopGroup(
-                        TRAFFIC_THREADS,
-                        new DefaultThreadFactory("traffic"),
-                        NioIoHandler.newFactory());
-        EventLoop controlThread = new DefaultEventLoop(new DefaultThreadFactory("control"));
-        MetricRegistry metrics = new MetricRegistry();
-        WireContext wire = wireContext(settings, traffic, boot);
+        AgentRuntime runtime = AgentRuntime.start(settings);
         ControlClient control =
                 ControlClient.connect(
-                        wire, clock, controlMembers(settings), (connection, frame) -> {});
-        HttpBackend backend = backend(settings, traffic);
-        LoadedModels loaded = new LoadedModels(controlThread);
-        AgentWork work =
-                AgentWork.create(
-                        settings, boot, clock, controlThread, backend, control, loaded, metrics);
+                        runtime.wire(),
+                        runtime.clock(),
+                        controlMembers(settings),
+                        (connection, frame) -> {});
+        HttpBackend backend = HttpBackend.create(settings, runtime.traffic());
+        BackendHealth health =
+                BackendHealth.create(
+                        runtime.traffic(), settings.backend().baseUrl(), runtime.controlThread());
+        LoadedModels loaded = new LoadedModels(runtime.controlThread());
+        AgentWork work = AgentWork.create(runtime, backend, health, control, loaded);
         WireServer server =
                 WireServer.start(
-                        wire,
+                        runtime.wire(),
                         new InetSocketAddress(settings.wire().host(), settings.wire().port()),
                         work.handler());
         String address = settings.wire().advertised(server.port()).toString();
-        Announcer announcer = new Announcer(settings, boot, address, control, controlThread);
+        Announcer announcer = new Announcer(runtime, address, control, health);
         loaded.announceBy(announcer);
-        AdministrationServer administration =
-                AdministrationServer.start(
-                        settings.administration(),
-                        traffic,
-                        AdministrationRoutes.create(
-                                () -> reasonAgainst(announcer),
-                                () ->
-                                        CompletableFuture.supplyAsync(
-                                                () ->
-                                                        AgentReport.of(
-                                                                settings, boot, work, announcer),
-                                                controlThread),
-                                metrics));
         AgentDaemon daemon =
                 new AgentDaemon(
-                        settings,
-                        traffic,
-                        controlThread,
+                        runtime,
                         server,
                         backend,
                         control,
-                        administration,
-                        work.workload(),
-                        work.streams(),
-                        announcer,
-                        clock);
+                        administration(runtime, work, announcer),
+                        work,
+                        announcer);
         daemon.run();
         return daemon;
     }
@@ -147,7 +99,7 @@
     @Override
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        mControlThread.execute(() -> leave(stopped));
+        mRuntime.controlThread().execute(() -> leave(stopped));
         return stopped;
     }
 
@@ -157,46 +109,80 @@
         mControl.close();
         mAdministration.close();
         mBackend.close();
-        mControlThread.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-        mTraffic.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mRuntime.close();
     }
 
     private void run() {
+        mRuntime.controlThread().execute(this::followEvents);
         mAnnouncer.start();
-        mControlThread.scheduleAtFixedRate(
-                this::expire, EXPIRY_MILLISECONDS, EXPIRY_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mRuntime.controlThread()
+                .scheduleAtFixedRate(
+                        this::expire,
+                        EXPIRY_MILLISECONDS,
+                        EXPIRY_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
         LogLine.info("started")
                 .with("role", "agent")
-                .with("agent", mSettings.agent())
+                .with("agent", mRuntime.settings().agent())
                 .with("port", port())
                 .with("administration", administrationPort())
                 .write();
     }
 
+    private void followEvents() {
+        if (mRuntime.settings().backend() instanceof BackendServer.Engine engine) {
+            engine.eventsPath()
+                    .map(path -> engine.baseUrl() + path)
+                    .map(this::events)
+                    .ifPresent(EngineEvents::start);
+        }
+    }
+
+    private EngineEvents events(String url) {
+        return new EngineEvents(mBackend.client(), url, mWork.index(), mRuntime.controlThread());
+    }
+
     private void expire() {
-        mWorkload.expire();
-        mStreams.forgetDelivered();
+        mWork.workload().expire();
+        mWork.streams().forgetDelivered();
     }
 
     private void leave(CompletableFuture<Void> stopped) {
-        LogLine.info("leaving").with("in_progress", mWorkload.inProgress()).write();
+        LogLine.info("leaving").with("in_progress", mWork.workload().inProgress()).write();
         mAnnouncer.leave();
-        mWorkload.leave();
-        awaitDrained(stopped, mClock.millis() + mSettings.timing().gracefulStopMilliseconds());
+        mWork.workload().leave();
+        long longest = mRuntime.settings().timing().gracefulStopMilliseconds();
+        awaitDrained(stopped, mRuntime.clock().millis() + longest);
     }
 
     private void awaitDrained(CompletableFuture<Void> stopped, long limitMilliseconds) {
-        mStreams.forgetDelivered();
-        boolean drained = mWorkload.inProgress() == 0 && mStreams.size() == 0;
-        if (drained || mClock.millis() >= limitMilliseconds) {
-            LogLine.info("stopped").with("in_progress", mWorkload.inProgress()).write();
+        mWork.streams().forgetDelivered();
+        int inProgress = mWork.workload().inProgress();
+        boolean drained = inProgress == 0 && mWork.streams().size() == 0;
+        if (drained || mRuntime.clock().millis() >= limitMilliseconds) {
+            LogLine.info("stopped").with("in_progress", inProgress).write();
             stopped.complete(null);
             return;
         }
-        mControlThread.schedule(
-                () -> awaitDrained(stopped, limitMilliseconds),
-                DRAIN_POLL_MILLISECONDS,
-                TimeUnit.MILLISECONDS);
+        mRuntime.controlThread()
+                .schedule(
+                        () -> awaitDrained(stopped, limitMilliseconds),
+                        DRAIN_POLL_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static AdministrationServer administration(
+            AgentRuntime runtime, AgentWork work, Announcer announcer) {
+        return AdministrationServer.start(
+                runtime.settings().administration(),
+                runtime.traffic(),
+                AdministrationRoutes.create(
+                        () -> reasonAgainst(announcer),
+                        () ->
+                                CompletableFuture.supplyAsync(
+                                        () -> AgentReport.of(runtime, work, announcer),
+                                        runtime.controlThread()),
+                        runtime.metrics()));
     }
 
     private static Optional<String> reasonAgainst(Announcer announcer) {
@@ -206,17 +192,6 @@
         return announcer.isAnnounced() ? Optional.empty() : Optional.of("not announced");
     }
 
-    private static WireContext wireContext(
-            AgentSettings settings, EventLoopGroup traffic, BootIdentifier boot) {
-        return new WireContext(
-                traffic,
-                WireSettings.standard(),
-                settings.agent(),
-                "agent",
-                boot,
-                new SecureRandom());
-    }
-
     private static List<InetSocketAddress> controlMembers(AgentSettings settings) {
         return settings.controlAddresses().stream().map(AgentDaemon::socketAddress).toList();
     }
@@ -224,12 +199,4 @@
     private static InetSocketAddress socketAddress(Address address) {
         return new InetSocketAddress(address.host(), address.port());
     }
-
-    private static HttpBackend backend(AgentSettings settings, EventLoopGroup traffic) {
-        return HttpBackend.create(
-                settings.backend().baseUrl(),
-                traffic,
-                Duration.ofMillis(settings.timing().backendConnectTimeoutMilliseconds()),
-                Duration.ofMillis(settings.timing().backendIdleTimeoutMilliseconds()));
-    }
 }
--- a/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
@@ -30,16 +30,10 @@
     private final Streams mStreams;
     private final EngineOrders mOrders;
 
-    AgentHandler(
-            BootIdentifier boot,
-            Clock clock,
-            ScheduledExecutorService controlThread,
-            Workload workload,
-            Streams streams,
-            EngineOrders orders) {
-        mBoot = boot;
-        mClock = clock;
-        mControlThread = controlThread;
+    AgentHandler(AgentRuntime runtime, Workload workload, Streams streams, EngineOrders orders) {
+        mBoot = runtime.boot();
+        mClock = runtime.clock();
+        mControlThread = runtime.controlThread();
         mWorkload = workload;
         mStreams = streams;
         mOrders = orders;
@@ -83,7 +77,11 @@
                         chainOf(request),
                         mClock.instant().plusMillis(request.getDeadlineMilliseconds()));
         Duration hold = Duration.ofMillis(request.getHoldMilliseconds());
-        connection.send(correlation, Offers.frameOf(mWorkload.offer(question, hold), mBoot));
+        try {
+            connection.send(correlation, Offers.frameOf(mWorkload.offer(question, hold), mBoot));
+        } catch (IbisstandException e) {
+            connection.send(correlation, Failures.frameOf(e));
+        }
     }
 
     private void submit(WireConnection connection, long correlation, Submit submit) {
--- a/agent/src/main/java/org/ibisstand/agent/AgentReport.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentReport.java
@@ -1,7 +1,6 @@
 package org.ibisstand.agent;
 
 import java.util.Map;
-import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.routing.CacheIndex;
 import org.ibisstand.settings.AgentSettings;
 
@@ -49,14 +48,14 @@
 
     private AgentReport() {}
 
-    static State of(
-            AgentSettings settings, BootIdentifier boot, AgentWork work, Announcer announcer) {
+    static State of(AgentRuntime runtime, AgentWork work, Announcer announcer) {
+        AgentSettings settings = runtime.settings();
         Workload workload = work.workload();
         CacheIndex index = work.index();
         return new State(
                 "agent",
                 settings.agent(),
-                boot.toString(),
+                runtime.boot().toString(),
                 settings.zone(),
                 announcer.isAnnounced(),
                 announcer.isLeaving(),
--- a/agent/src/main/java/org/ibisstand/agent/AgentWork.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentWork.java
@@ -1,11 +1,7 @@
 package org.ibisstand.agent;
 
-import com.codahale.metrics.MetricRegistry;
-import java.time.Clock;
 import java.time.Duration;
-import java.util.concurrent.ScheduledExecutorService;
 import org.ibisstand.base.AgentIdentifier;
-import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.routing.CacheIndex;
 import org.ibisstand.routing.QueuePolicy;
 import org.ibisstand.routing.WorkQueue;
@@ -31,37 +27,35 @@
     private static final Duration LONGEST_ANSWER = Duration.ofMinutes(30);
 
     static AgentWork create(
-            AgentSettings settings,
-            BootIdentifier boot,
-            Clock clock,
-            ScheduledExecutorService controlThread,
+            AgentRuntime runtime,
             HttpBackend backend,
+            BackendHealth health,
             ControlClient control,
-            LoadedModels loaded,
-            MetricRegistry metrics) {
+            LoadedModels loaded) {
+        AgentSettings settings = runtime.settings();
         AgentIdentifier agent = new AgentIdentifier(settings.agent());
-        CacheIndex index = CacheIndex.create(clock);
+        CacheIndex index = CacheIndex.create(runtime.clock());
         Workload workload =
                 new Workload(
                         agent,
-                        boot,
-                        clock,
-                        controlThread,
-                        WorkQueue.create(policy(settings), index, clock),
+                        runtime.boot(),
+                        runtime.clock(),
+                        runtime.controlThread(),
+                        WorkQueue.create(policy(settings), index, runtime.clock()),
                         backend,
-                        new ControlOutcomeRecorder(control, agent, boot),
+                        health,
+                        new ControlOutcomeRecorder(control, agent, runtime.boot()),
                         limits(settings),
-                        new WorkloadMetrics(metrics));
+                        new WorkloadMetrics(runtime.metrics()));
         Streams streams =
                 new Streams(
                         settings.limits().streamBufferBytes(),
                         settings.timing().resumeMilliseconds(),
-                        controlThread,
+                        runtime.controlThread(),
                         workload::abandon);
         EngineLoader loader = new HttpEngineLoader(backend.client(), settings.backend().baseUrl());
-        EngineOrders orders = new EngineOrders(boot, loader, loaded::report);
-        AgentHandler handler =
-                new AgentHandler(boot, clock, controlThread, workload, streams, orders);
+        EngineOrders orders = new EngineOrders(runtime.boot(), loader, loaded::report);
+        AgentHandler handler = new AgentHandler(runtime, workload, streams, orders);
         return new AgentWork(workload, streams, index, orders, handler);
     }
 
--- a/agent/src/main/java/org/ibisstand/agent/Announcer.java
+++ b/agent/src/main/java/org/ibisstand/agent/Announcer.java
@@ -30,27 +30,25 @@
     private final String mAddress;
     private final ControlClient mControl;
     private final ScheduledExecutorService mControlThread;
+    private final BackendHealth mHealth;
     private final Map<String, String> mModels = new TreeMap<>();
     private boolean mLeaving;
     private boolean mAnnounced;
 
-    Announcer(
-            AgentSettings settings,
-            BootIdentifier boot,
-            String address,
-            ControlClient control,
-            ScheduledExecutorService controlThread) {
-        mSettings = settings;
-        mBoot = boot;
+    Announcer(AgentRuntime runtime, String address, ControlClient control, BackendHealth health) {
+        mSettings = runtime.settings();
+        mBoot = runtime.boot();
         mAddress = address;
         mControl = control;
-        mControlThread = controlThread;
-        if (settings.backend() instanceof BackendServer.Engine engine) {
+        mControlThread = runtime.controlThread();
+        mHealth = health;
+        if (mSettings.backend() instanceof BackendServer.Engine engine) {
             engine.models().forEach(one -> mModels.put(one.model(), one.weightsVersion()));
         }
     }
 
     void start() {
+        mHealth.onChange(this::announce);
         long lease = mSettings.timing().leaseMilliseconds();
         mControlThread.scheduleAtFixedRate(
                 this::announce, 0, lease / ANNOUNCEMENTS_PER_LEASE, TimeUnit.MILLISECONDS);
@@ -102,6 +100,10 @@
                         .setZone(mSettings.zone())
                         .setLeaving(mLeaving)
                         .setLeaseMilliseconds(mSettings.timing().leaseMilliseconds());
+        if (mHealth.isDown()) {
+            // An agent that serves nothing is still known, but no work is placed at it.
+            return record.build();
+        }
         mModels.forEach(
                 (model, version) ->
                         record.addModels(
--- a/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
+++ b/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
@@ -10,6 +10,7 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
+import org.ibisstand.settings.AgentSettings;
 import org.ibisstand.wire.message.Header;
 import org.ibisstand.wire.message.Submit;
 
@@ -35,21 +36,20 @@
     /**
      * Returns a backend that connects on demand.
      *
-     * @param baseUrl scheme, host and port of the backend server
+     * @param settings the address of the backend server and the timeouts
      * @param group the event loops to use
-     * @param connectTimeout how long a connection may take to open
-     * @param idleTimeout how long the next bytes of an answer may take
      */
-    static HttpBackend create(
-            String baseUrl, EventLoopGroup group, Duration connectTimeout, Duration idleTimeout) {
+    static HttpBackend create(AgentSettings settings, EventLoopGroup group) {
         return new HttpBackend(
-                baseUrl,
-                client(group, connectTimeout, idleTimeout, true),
-                client(group, connectTimeout, idleTimeout, false));
+                settings.backend().baseUrl(),
+                client(group, settings.timing(), true),
+                client(group, settings.timing(), false));
     }
 
     private static AsyncHttpClient client(
-            EventLoopGroup group, Duration connectTimeout, Duration idleTimeout, boolean keep) {
+            EventLoopGroup group, AgentSettings.Timing timing, boolean keep) {
+        Duration connectTimeout = Duration.ofMillis(timing.backendConnectTimeoutMilliseconds());
+        Duration idleTimeout = Duration.ofMillis(timing.backendIdleTimeoutMilliseconds());
         return Dsl.asyncHttpClient(
                 new DefaultAsyncHttpClientConfig.Builder()
                         .setEventLoopGroup(group)
--- a/agent/src/main/java/org/ibisstand/agent/Workload.java
+++ b/agent/src/main/java/org/ibisstand/agent/Workload.java
@@ -14,6 +14,7 @@
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.PrefixChain;
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.Offer;
@@ -36,6 +37,7 @@
  */
 final class Workload {
     private static final Duration RECORD_WAIT = Duration.ofSeconds(2);
+    private static final String BACKEND_DOWN = "the backend server takes no connections";
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private final AgentIdentifier mAgent;
@@ -44,6 +46,7 @@
     private final ScheduledExecutorService mControlThread;
     private final WorkQueue mQueue;
     private final Backend mBackend;
+    private final BackendHealth mHealth;
     private final OutcomeRecorder mRecorder;
     private final WorkloadLimits mLimits;
     private final WorkloadMetrics mMetrics;
@@ -59,6 +62,7 @@
             ScheduledExecutorService controlThread,
             WorkQueue queue,
             Backend backend,
+            BackendHealth health,
             OutcomeRecorder recorder,
             WorkloadLimits limits,
             WorkloadMetrics metrics) {
@@ -68,13 +72,22 @@
         mControlThread = controlThread;
         mQueue = queue;
         mBackend = backend;
+        mHealth = health;
         mRecorder = recorder;
         mLimits = limits;
         mMetrics = metrics;
         mAttempts = Attempts.create(clock);
     }
 
+    /**
+     * Predicts when a request could be served.
+     *
+     * @throws IbisstandException with BACKEND_UNREACHABLE while the backend server is down
+     */
     Offer offer(Question question, Duration hold) {
+        if (mHealth.isDown()) {
+            throw new IbisstandException(ErrorCode.BACKEND_UNREACHABLE, BACKEND_DOWN);
+        }
         return mQueue.offer(question, hold);
     }
 
@@ -86,6 +99,10 @@
             return;
         }
         execution.join(stream);
+        if (mHealth.isDown()) {
+            endNotRun(execution, new Verdict.NotRun(ErrorCode.BACKEND_UNREACHABLE, BACKEND_DOWN));
+            return;
+        }
         mExecutions.put(execution.work(), execution);
         mQueue.submit(new Work(execution.work(), question, submit.getHold()));
         poll();
@@ -258,6 +275,9 @@
     }
 
     private void failed(Execution execution, boolean written, ErrorCode code, String message) {
+        if (code == ErrorCode.BACKEND_UNREACHABLE) {
+            mHealth.refused();
+        }
         end(execution, OptionalInt.empty());
         if (!written) {
             endNotRun(execution, new Verdict.NotRun(code, message));
