--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -40,6 +40,7 @@
     private static final long MAXIMUM_OPAQUE_KEYS = 65_536;
     private static final Duration CLOCK_TOLERANCE = Duration.ofMinutes(5);
     private static final long STOP_SECONDS = 5;
+    private static final long LEADERLESS_EPOCH = 1;
 
     private final ControlSettings mSettings;
     private final Clock mClock;
@@ -136,7 +137,7 @@
                 opener.open(
                         state, new LogContext(mSettings, mControlThread, wire, mClock, address));
         Duration lease = Duration.ofMillis(mSettings.timing().greatestLeaseMilliseconds());
-        Registry registry = Registry.create(wire.boot().value(), lease, mClock.instant());
+        Registry registry = Registry.create(lease, mClock.instant());
         Proposals proposals = Proposals.create(log, mClock);
         return new ControlParts(
                 state,
@@ -190,6 +191,7 @@
     private void tick() {
         try {
             mParts.quorum().tick();
+            mParts.registry().serveAs(registryEpoch(mParts.log().status()), mClock.instant());
             mParts.registry().tick(mClock.instant());
             mParts.watchers().confirm(mParts.quorum().confirmed());
             mParts.watchers().flush();
@@ -198,6 +200,14 @@
         }
     }
 
+    /** The leader's list goes first; a member without a leader serves what it knows as the last. */
+    private static long registryEpoch(LogStatus status) {
+        if (status.leads()) {
+            return status.term() + LEADERLESS_EPOCH;
+        }
+        return status.leaderAddress().isPresent() ? 0 : LEADERLESS_EPOCH;
+    }
+
     private void takeStatus() {
         mStatus = ControlStatus.of(mSettings.member(), mParts);
     }
--- a/control/src/main/java/org/ibisstand/control/ControlService.java
+++ b/control/src/main/java/org/ibisstand/control/ControlService.java
@@ -73,6 +73,10 @@
         Duration lease =
                 mParts.registry().announce(frame.getAnnounce().getAgent(), mClock.instant());
         mParts.agentConnections().announced(connection, frame.getAnnounce().getAgent());
+        if (!mParts.log().status().leads()) {
+            throw new IbisstandException(
+                    ErrorCode.NOT_LEADER, "noted, but watchers ask the leader for agents");
+        }
         AnnounceReply reply =
                 AnnounceReply.newBuilder()
                         .setRevision(mParts.state().revision())
--- a/control/src/main/java/org/ibisstand/control/Registry.java
+++ b/control/src/main/java/org/ibisstand/control/Registry.java
@@ -14,40 +14,50 @@
 /**
  * The agents that announced themselves to this member, each under a lease; used on the control
  * thread alone. Nothing here is replicated: agents announce themselves to every member, so a
- * restarted member learns all of them within one lease.
+ * restarted member learns all of them within one lease. Watchers take the list of the leader, whose
+ * epoch is the highest.
  */
 final class Registry {
     static final int REMEMBERED_REMOVALS = 4096;
     static final int REMEMBERED_BOOTS = 4;
 
-    private final long mEpoch;
     private final Duration mGreatestLease;
-    private final Instant mCompleteAt;
     private final Map<String, LeasedAgent> mAgents = new TreeMap<>();
     private final Map<String, ArrayDeque<Long>> mEndedBoots = new TreeMap<>();
     private final ArrayDeque<Removal> mRemovals = new ArrayDeque<>();
+    private long mEpoch;
+    private Instant mCompleteAt;
     private Instant mLastTick;
     private long mSequence = 1;
     private long mFirstCompleteSequence = Long.MAX_VALUE;
     private long mForgottenRemoval;
 
-    private Registry(long epoch, Duration greatestLease, Instant now) {
-        mEpoch = epoch;
+    private Registry(Duration greatestLease, Instant now) {
         mGreatestLease = greatestLease;
         mCompleteAt = now.plus(greatestLease);
         mLastTick = now;
     }
 
     /**
-     * Returns a registry without agents. It is incomplete for one lease, in which agents that live
-     * may not have announced themselves yet.
+     * Returns a registry without agents, which serves no watcher yet.
      *
-     * @param epoch names this registry among all others
      * @param greatestLease the longest lease that is granted
      * @param now the present time
      */
-    static Registry create(long epoch, Duration greatestLease, Instant now) {
-        return new Registry(epoch, greatestLease, now);
+    static Registry create(Duration greatestLease, Instant now) {
+        return new Registry(greatestLease, now);
+    }
+
+    /**
+     * Serves watchers under another epoch from now on; zero serves none. The registry counts as
+     * incomplete for one lease, in which agents that live may not have announced themselves yet.
+     */
+    void serveAs(long epoch, Instant now) {
+        if (epoch != mEpoch) {
+            mEpoch = epoch;
+            mCompleteAt = now.plus(mGreatestLease);
+            mFirstCompleteSequence = Long.MAX_VALUE;
+        }
     }
 
     /**
@@ -96,6 +106,9 @@
 
     /** Returns what a watcher lacks that has reached the given sequence of the given epoch. */
     RegistryChange since(long epoch, long sequence) {
+        if (mEpoch == 0) {
+            return RegistryChange.NONE;
+        }
         boolean known = epoch == mEpoch && sequence <= mSequence;
         boolean complete = mFirstCompleteSequence != Long.MAX_VALUE;
         boolean lagging = sequence < mForgottenRemoval || sequence < mFirstCompleteSequence;
--- a/control/src/main/java/org/ibisstand/control/RegistryChange.java
+++ b/control/src/main/java/org/ibisstand/control/RegistryChange.java
@@ -14,6 +14,9 @@
  */
 record RegistryChange(
         long epoch, long sequence, boolean whole, List<AgentRecord> agents, List<String> removed) {
+    /** Says nothing about agents. */
+    static final RegistryChange NONE = new RegistryChange(0, 0, false, List.of(), List.of());
+
     RegistryChange {
         agents = List.copyOf(agents);
         removed = List.copyOf(removed);
