Believe cache entries for a minute after a gap in the events

Cause: one lost event in a hundred opens a gap every few seconds, and every entry older than the gap was dropped 5 s later. Offers then named far fewer held pieces than the engine had, and prompts were placed elsewhere.

Change: the doubt lasts 60 s. A wrongly believed piece costs one recomputation, which the answer's cached count corrects; a wrongly dropped one costs a recomputation too, and a copy at another engine besides.

--- a/routing/src/main/java/org/ibisstand/routing/CacheIndex.java
+++ b/routing/src/main/java/org/ibisstand/routing/CacheIndex.java
@@ -14,7 +14,7 @@
  */
 public final class CacheIndex {
     /** How long entries older than a gap in the events are still believed. */
-    public static final Duration DOUBT = Duration.ofSeconds(5);
+    public static final Duration DOUBT = Duration.ofSeconds(60);
 
     /** The most pieces that the index remembers. */
     public static final int MAXIMUM_PIECES = 400_000;
