--- a/storage/src/main/java/org/ibisstand/storage/package-info.java
+++ b/storage/src/main/java/org/ibisstand/storage/package-info.java
@@ -1,2 +1,2 @@
-/** Durable log segments and snapshots. */
+/** A durable log with snapshots, term and vote in one data folder. */
 package org.ibisstand.storage;
--- /dev/null
+++ b/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
@@ -0,0 +1,249 @@
+package org.ibisstand.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.Range;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LogStoreTest {
+    private static final int SEGMENT_BYTES = 200;
+    private static final String FIRST_SEGMENT = "log-00000000000000000001";
+
+    private final MemoryDisk mDisk = new MemoryDisk();
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 5, 300})
+    void recordsAreReadBackOverManySegments(int count) {
+        OpenedLog opened = open(mDisk);
+        opened.store().append(records(1, count, 3));
+        opened.store().sync();
+        opened.store().saveTermAndVote(new TermAndVote(3, "b"));
+
+        Recovered recovered = open(mDisk).recovered();
+
+        assertThat(recovered.records()).hasSize(count);
+        assertThat(text(recovered.records().getLast())).isEqualTo("record " + count);
+        assertThat(recovered.termAndVote()).isEqualTo(new TermAndVote(3, "b"));
+        assertThat(recovered.identity()).isEqualTo(opened.recovered().identity());
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void everySyncedRecordSurvivesACrashAndTheRestIsAPrefix(long seed) {
+        Random random = new Random(seed);
+        LogStore store = open(mDisk).store();
+        int synced = random.nextInt(20);
+        int unsynced = random.nextInt(20);
+        store.append(records(1, synced, 1));
+        store.sync();
+        store.append(records(synced + 1, synced + unsynced, 2));
+        mDisk.crash(random);
+
+        List<LogRecord> recovered = open(mDisk).recovered().records();
+
+        assertThat(recovered.size()).isAtLeast(synced);
+        assertThat(recovered.size()).isAtMost(synced + unsynced);
+        for (int position = 0; position < recovered.size(); position++) {
+            assertThat(recovered.get(position).index()).isEqualTo(position + 1);
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void aTruncatedTailNeverComesBackAfterACrash(long seed) {
+        Random random = new Random(seed);
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 12, 1));
+        store.sync();
+        int cut = 1 + random.nextInt(12);
+        store.truncateFrom(cut);
+        store.append(records(cut, cut + 2, 2));
+        mDisk.crash(random);
+
+        List<LogRecord> recovered = open(mDisk).recovered().records();
+
+        assertThat(recovered.size()).isIn(Range.closed(cut - 1, cut + 2));
+        for (LogRecord record : recovered) {
+            assertThat(record.term()).isEqualTo(record.index() < cut ? 1 : 2);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 40, 90})
+    void damageBeforeASyncedRecordIsRefused(int position) {
+        LogStore store = open(mDisk).store();
+        for (int index = 1; index <= 12; index++) {
+            store.append(records(index, index, 1));
+            store.sync();
+        }
+        mDisk.damage(FIRST_SEGMENT, position);
+
+        assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
+    }
+
+    @Test
+    void damageInTheNewestSegmentIsRefusedWhenALaterRecordKnewItSynced() {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 1, 1));
+        store.sync();
+        store.append(records(2, 2, 1));
+        mDisk.damage(FIRST_SEGMENT, 5);
+
+        assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"metadata", "snapshot-00000000000000000008"})
+    void aDamagedSmallFileIsRefused(String name) {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 8, 1));
+        store.saveSnapshot(new StoredSnapshot(8, 1, bytes("state")), true);
+        mDisk.damage(name, 9);
+
+        assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"metadata", "log-00000000000000000006"})
+    void aMissingFileIsRefused(String name) {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 14, 1));
+        store.sync();
+        mDisk.delete(name);
+
+        assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
+    }
+
+    static Stream<Consumer<LogStore>> operations() {
+        return Stream.of(
+                LogStore::sync,
+                store -> store.append(records(store.lastIndex() + 1, store.lastIndex() + 1, 1)),
+                store -> store.truncateFrom(1),
+                store -> store.saveTermAndVote(new TermAndVote(9, "")),
+                store -> store.saveSnapshot(new StoredSnapshot(2, 1, bytes("state")), true));
+    }
+
+    @ParameterizedTest
+    @MethodSource("operations")
+    void everythingIsRefusedAfterAFailedSync(Consumer<LogStore> operation) {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 2, 1));
+        mDisk.setSyncFails(true);
+        assertCode(ErrorCode.STORAGE_FAILED, store::sync);
+        mDisk.setSyncFails(false);
+
+        assertCode(ErrorCode.STORAGE_FAILED, () -> operation.accept(store));
+    }
+
+    @Test
+    void aFullDiskIsReportedAndWhatWasSyncedStays() {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 3, 1));
+        store.sync();
+        mDisk.setCapacity(250);
+
+        assertCode(ErrorCode.STORAGE_FAILED, () -> store.append(records(4, 9, 1)));
+        mDisk.setCapacity(Long.MAX_VALUE);
+        assertThat(open(mDisk).recovered().records().size()).isAtLeast(3);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void aSnapshotReplacesWhatItCoversAlsoWhenACrashInterrupts(long seed) {
+        Random random = new Random(seed);
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 30, 1));
+        store.sync();
+        int index = 1 + random.nextInt(40);
+        boolean continues = index <= 30 && random.nextBoolean();
+        long term = continues ? 1 : 2;
+        store.saveSnapshot(new StoredSnapshot(index, term, bytes("state")), continues);
+        mDisk.crash(random);
+
+        Recovered recovered = open(mDisk).recovered();
+
+        assertThat(recovered.snapshot().orElseThrow().index()).isEqualTo(index);
+        assertThat(recovered.records()).hasSize(continues ? 30 - index : 0);
+    }
+
+    @Test
+    void manyRecordsShareOneSync() {
+        LogStore store = LogStore.open(mDisk, 1 << 20, new Random(1)).store();
+        int before = mDisk.syncs();
+        store.append(records(1, 500, 1));
+        store.sync();
+
+        assertThat(mDisk.syncs() - before).isEqualTo(1);
+    }
+
+    @Test
+    void aSecondUserOfTheFolderIsRefused(@TempDir Path folder) {
+        try (FolderDisk first = FolderDisk.open(folder)) {
+            assertCode(ErrorCode.DATA_FOLDER_UNUSABLE, () -> FolderDisk.open(folder));
+        }
+    }
+
+    @Test
+    void aFolderThatCannotBeCreatedIsRefused(@TempDir Path folder) throws Exception {
+        Path file = Files.createFile(folder.resolve("file"));
+        assertCode(ErrorCode.DATA_FOLDER_UNUSABLE, () -> FolderDisk.open(file.resolve("data")));
+    }
+
+    @Test
+    void aRealFolderGivesBackWhatWasSynced(@TempDir Path folder) {
+        try (LogStore store = open(FolderDisk.open(folder)).store()) {
+            store.append(records(1, 300, 1));
+            store.saveSnapshot(new StoredSnapshot(250, 1, bytes("state")), true);
+            store.truncateFrom(290);
+        }
+        OpenedLog opened = open(FolderDisk.open(folder));
+        opened.store().close();
+        assertThat(opened.recovered().records()).hasSize(39);
+        assertThat(opened.recovered().records().getFirst().index()).isEqualTo(251);
+    }
+
+    static LongStream seeds() {
+        return LongStream.range(0, 300);
+    }
+
+    private static OpenedLog open(Disk disk) {
+        return LogStore.open(disk, SEGMENT_BYTES, new Random(1));
+    }
+
+    private static List<LogRecord> records(long first, long last, long term) {
+        List<LogRecord> records = new ArrayList<>();
+        for (long index = first; index <= last; index++) {
+            records.add(new LogRecord(index, term, bytes("record " + index)));
+        }
+        return records;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(LogRecord record) {
+        return new String(record.payload(), StandardCharsets.UTF_8);
+    }
+
+    private static void assertCode(ErrorCode code, Runnable action) {
+        IbisstandException thrown = assertThrows(IbisstandException.class, action::run);
+        assertThat(thrown.code()).isEqualTo(code);
+    }
+}
