Replicate the log by consensus, explored under random faults

Cause: claims and configuration must survive any minority of lost disks, and an isolated member must answer nothing stale.

Ruled out: leases for reads (they rest on clocks that a frozen process does not see), joint membership changes (one vote at a time overlaps by itself), and acknowledging while the sync is under way.

Each promise waits in an outbox until storage reports what it rests on; a member's message to itself takes the same way, so its own copy and its own vote count only once durable. The conditions of safety stand in SafetyRules; NaiveRules each lack one, and the exploration breaks every one of them.

--- a/base/src/main/java/org/ibisstand/base/ErrorCode.java
+++ b/base/src/main/java/org/ibisstand/base/ErrorCode.java
@@ -22,6 +22,7 @@
     IDEMPOTENCY_KEY_INVALID(400, "Send an Idempotency-Key of 1 to 128 visible characters."),
     IDEMPOTENCY_KEY_REUSED(409, "The key was used with another body; take a new key."),
     INTERNAL(500, "A fault of ibisstand; report it with the log lines of the request."),
+    MEMBERSHIP_CONFLICT(409, "Wait for the earlier change or the learner, then repeat."),
     METHOD_NOT_ALLOWED(405, "Use the method that the documentation names."),
     MODEL_UNKNOWN(404, "Name a model of the configuration that the team may use."),
     NO_AGENT_AVAILABLE(503, "No live agent serves this; check agents with 'ibisstand state'."),
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/EntryLog.java
@@ -0,0 +1,156 @@
+package org.ibisstand.consensus;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+/** A member's log in memory: the newest snapshot, the entries around and after it. */
+final class EntryLog {
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final NavigableMap<Long, Membership> mMemberships = new TreeMap<>();
+    private Optional<Snapshot> mSnapshot = Optional.empty();
+    private long mBaseIndex;
+    private long mBaseTerm;
+
+    /** Returns the newest snapshot. */
+    Optional<Snapshot> snapshot() {
+        return mSnapshot;
+    }
+
+    /** Returns the index of the last entry, or of the snapshot if none follows it. */
+    long lastIndex() {
+        return mBaseIndex + mEntries.size();
+    }
+
+    /** Returns the term of the last entry. */
+    long lastTerm() {
+        return mEntries.isEmpty() ? mBaseTerm : mEntries.getLast().term();
+    }
+
+    /** Returns the members after the last entry. */
+    Membership membership() {
+        return mMemberships.isEmpty() ? Membership.EMPTY : mMemberships.lastEntry().getValue();
+    }
+
+    /** Returns the members after an entry that is not behind the snapshot. */
+    Membership membershipAt(long index) {
+        Map.Entry<Long, Membership> entry = mMemberships.floorEntry(index);
+        return entry == null ? Membership.EMPTY : entry.getValue();
+    }
+
+    /** Returns the index of the entry that set the present members. */
+    long membershipIndex() {
+        return mMemberships.isEmpty() ? 0 : mMemberships.lastKey();
+    }
+
+    /** Returns the term of an entry; empty if it was compacted or is not in the log yet. */
+    OptionalLong termAt(long index) {
+        if (index == mBaseIndex) {
+            return OptionalLong.of(mBaseTerm);
+        }
+        if (index < mBaseIndex || index > lastIndex()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(entry(index).term());
+    }
+
+    /** Returns an entry that was not compacted. */
+    Entry entry(long index) {
+        return mEntries.get(Math.toIntExact(index - mBaseIndex - 1));
+    }
+
+    /** Returns the entries from an index on, within the limits of one message. */
+    List<Entry> entriesFrom(long index, Limits limits) {
+        List<Entry> entries = new ArrayList<>();
+        int bytes = 0;
+        for (long next = index; next <= lastIndex(); next++) {
+            Entry entry = entry(next);
+            bytes += size(entry);
+            entries.add(entry);
+            if (entries.size() >= limits.entriesInMessage() || bytes >= limits.bytesInMessage()) {
+                break;
+            }
+        }
+        return List.copyOf(entries);
+    }
+
+    /** Returns the first index of the run of entries that share a term. */
+    long firstIndexOfTermAt(long index) {
+        long term = entry(index).term();
+        long first = index;
+        while (first - 1 > mBaseIndex && entry(first - 1).term() == term) {
+            first--;
+        }
+        return first;
+    }
+
+    void append(Entry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException(entry.index() + " cannot follow " + lastIndex());
+        }
+        mEntries.add(entry);
+        if (entry.content() instanceof EntryContent.MembershipEntry change) {
+            mMemberships.put(entry.index(), change.membership());
+        }
+    }
+
+    void appendAll(Collection<Entry> entries) {
+        entries.forEach(this::append);
+    }
+
+    void truncateFrom(long index) {
+        mEntries.subList(Math.toIntExact(index - mBaseIndex - 1), mEntries.size()).clear();
+        mMemberships.tailMap(index, true).clear();
+    }
+
+    /** Replaces the entries up to an index by a snapshot, and keeps some of them in memory. */
+    Snapshot compact(long index, byte[] state, int retainedEntries) {
+        Membership membership = membershipAt(index);
+        long term = termAt(index).orElseThrow();
+        Snapshot snapshot = new Snapshot(index, term, membership, state);
+        takeSnapshot(snapshot);
+        dropUntil(Math.max(mBaseIndex, index - retainedEntries));
+        return snapshot;
+    }
+
+    /**
+     * Takes over a snapshot of another member.
+     *
+     * @return whether the entries after it stay, since they continue it
+     */
+    boolean install(Snapshot snapshot) {
+        OptionalLong term = termAt(snapshot.index());
+        boolean continues = term.isPresent() && term.getAsLong() == snapshot.term();
+        if (continues) {
+            dropUntil(snapshot.index());
+        } else {
+            mEntries.clear();
+            mMemberships.clear();
+            mBaseIndex = snapshot.index();
+            mBaseTerm = snapshot.term();
+        }
+        takeSnapshot(snapshot);
+        return continues;
+    }
+
+    private void takeSnapshot(Snapshot snapshot) {
+        mSnapshot = Optional.of(snapshot);
+        mMemberships.headMap(snapshot.index(), true).clear();
+        mMemberships.put(snapshot.index(), snapshot.membership());
+    }
+
+    private void dropUntil(long index) {
+        mBaseTerm = termAt(index).orElseThrow();
+        mEntries.subList(0, Math.toIntExact(index - mBaseIndex)).clear();
+        mBaseIndex = index;
+    }
+
+    private static int size(Entry entry) {
+        return entry.content() instanceof EntryContent.Command command ? command.data().length : 0;
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/Limits.java
@@ -0,0 +1,20 @@
+package org.ibisstand.consensus;
+
+/**
+ * Bounds on messages and memory.
+ *
+ * @param entriesInMessage the most entries in one message
+ * @param bytesInMessage the size of commands at which a message is closed
+ * @param unacknowledgedEntries the most entries on their way to one member
+ * @param snapshotChunkBytes the most bytes of a snapshot in one message
+ * @param retainedEntries entries kept behind a snapshot for members that lag a little
+ */
+public record Limits(
+        int entriesInMessage,
+        int bytesInMessage,
+        int unacknowledgedEntries,
+        int snapshotChunkBytes,
+        int retainedEntries) {
+    /** Limits for members that share a region. */
+    public static final Limits DEFAULT = new Limits(512, 1 << 20, 8192, 1 << 18, 1024);
+}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberIdentifier.java
@@ -0,0 +1,29 @@
+package org.ibisstand.consensus;
+
+/**
+ * Names one member together with its disk; a member whose disk was lost comes back under another
+ * identifier, since it no longer knows its votes and entries.
+ *
+ * @param value the member's name, a dot, and the identity of its data folder
+ */
+public record MemberIdentifier(String value) implements Comparable<MemberIdentifier> {
+    /**
+     * Joins a name from the settings with the identity of the data folder.
+     *
+     * @param name the member's name
+     * @param folderIdentity the number that was drawn when the folder was first used
+     */
+    public static MemberIdentifier of(String name, long folderIdentity) {
+        return new MemberIdentifier(name + "." + Long.toHexString(folderIdentity));
+    }
+
+    @Override
+    public int compareTo(MemberIdentifier other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberState.java
@@ -0,0 +1,207 @@
+package org.ibisstand.consensus;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.ibisstand.storage.Recovered;
+import org.ibisstand.storage.TermAndVote;
+
+/** What every part of a member shares: term, vote, log, commit index and role. */
+final class MemberState {
+    private final MemberIdentifier mSelf;
+    private final Timing mTiming;
+    private final Limits mLimits;
+    private final SafetyRules mRules;
+    private final RandomGenerator mRandom;
+    private final EntryLog mLog = new EntryLog();
+    private final Outbox mOutbox;
+    private TermAndVote mTermAndVote;
+    private long mCommitIndex;
+    private Role mRole;
+    private Instant mNow;
+    private Instant mElectionDeadline;
+    private boolean mStatusChanged;
+
+    MemberState(
+            MemberIdentifier self,
+            Recovered recovered,
+            Timing timing,
+            Limits limits,
+            SafetyRules rules,
+            RandomGenerator random,
+            Instant now) {
+        mSelf = self;
+        mTiming = timing;
+        mLimits = limits;
+        mRules = rules;
+        mRandom = random;
+        mOutbox = new Outbox(self, rules);
+        mTermAndVote = recovered.termAndVote();
+        recovered.snapshot().map(ContentCodec::fromStored).ifPresent(this::recover);
+        recovered.records().stream().map(ContentCodec::fromRecord).forEach(mLog::append);
+        mNow = now;
+        mRole = new Role.Follower(Optional.empty(), Instant.MIN);
+        postponeElection();
+    }
+
+    MemberIdentifier self() {
+        return mSelf;
+    }
+
+    Limits limits() {
+        return mLimits;
+    }
+
+    Timing timing() {
+        return mTiming;
+    }
+
+    SafetyRules rules() {
+        return mRules;
+    }
+
+    EntryLog log() {
+        return mLog;
+    }
+
+    Outbox outbox() {
+        return mOutbox;
+    }
+
+    Role role() {
+        return mRole;
+    }
+
+    long term() {
+        return mTermAndVote.term();
+    }
+
+    String vote() {
+        return mTermAndVote.vote();
+    }
+
+    long commitIndex() {
+        return mCommitIndex;
+    }
+
+    Instant now() {
+        return mNow;
+    }
+
+    void advanceTo(Instant now) {
+        mNow = now.isAfter(mNow) ? now : mNow;
+    }
+
+    boolean isElectionDue() {
+        return !mNow.isBefore(mElectionDeadline);
+    }
+
+    void postponeElection() {
+        mElectionDeadline = mTiming.electionDeadline(mNow, mRandom);
+    }
+
+    /** Returns the leader of the present term, if known. */
+    Optional<MemberIdentifier> leader() {
+        return switch (mRole) {
+            case Role.Follower follower -> follower.leader();
+            case Role.Candidate candidate -> Optional.empty();
+            case Role.Leader leader -> Optional.of(mSelf);
+        };
+    }
+
+    /** Returns whether a leader was heard so lately that elections only disturb. */
+    boolean hasFreshLeader() {
+        return switch (mRole) {
+            case Role.Follower follower ->
+                    follower.leader().isPresent() && isFresh(follower.lastHeard());
+            case Role.Candidate candidate -> false;
+            case Role.Leader leader -> true;
+        };
+    }
+
+    void setRole(Role role) {
+        Optional<MemberIdentifier> before = leader();
+        if (mRole instanceof Role.Leader old) {
+            old.leadership().end(role);
+        }
+        mRole = role;
+        mStatusChanged |= !before.equals(leader());
+    }
+
+    /** Follows a leader, or none yet, in the given term, which is never lower than the present. */
+    void follow(long term, Optional<MemberIdentifier> leader) {
+        if (term > term()) {
+            saveTerm(term, "");
+        }
+        setRole(new Role.Follower(leader, mNow));
+    }
+
+    void saveTerm(long term, String vote) {
+        mTermAndVote = new TermAndVote(term, vote);
+        mOutbox.save(mTermAndVote);
+        mStatusChanged = true;
+    }
+
+    void append(Entry entry) {
+        mLog.append(entry);
+        mOutbox.append(entry);
+        mStatusChanged |= entry.content() instanceof EntryContent.MembershipEntry;
+    }
+
+    void truncateFrom(long index) {
+        if (index <= mCommitIndex) {
+            throw new IllegalStateException("entry " + index + " is committed");
+        }
+        mLog.truncateFrom(index);
+        mOutbox.truncateFrom(index);
+        mStatusChanged = true;
+    }
+
+    /** Applies all entries up to an index that are not applied yet. */
+    void commitTo(long index) {
+        while (mCommitIndex < index) {
+            mCommitIndex++;
+            Entry entry = mLog.entry(mCommitIndex);
+            mOutbox.add(new Output.Apply(entry, ticketOf(mCommitIndex)));
+        }
+    }
+
+    void compact(long index, byte[] encoded) {
+        boolean isNewer = mLog.snapshot().map(Snapshot::index).orElse(0L) < index;
+        if (isNewer && index <= mCommitIndex) {
+            Snapshot snapshot = mLog.compact(index, encoded, mLimits.retainedEntries());
+            mOutbox.save(snapshot, true);
+        }
+    }
+
+    void install(Snapshot snapshot) {
+        boolean continues = mLog.install(snapshot);
+        mCommitIndex = snapshot.index();
+        mOutbox.save(snapshot, continues);
+        mOutbox.add(new Output.Restore(snapshot));
+        mStatusChanged = true;
+    }
+
+    boolean takeStatusChanged() {
+        boolean changed = mStatusChanged;
+        mStatusChanged = false;
+        return changed;
+    }
+
+    private OptionalLong ticketOf(long index) {
+        return mRole instanceof Role.Leader leader
+                ? leader.leadership().takeTicket(index)
+                : OptionalLong.empty();
+    }
+
+    private void recover(Snapshot snapshot) {
+        mLog.install(snapshot);
+        mCommitIndex = snapshot.index();
+    }
+
+    private boolean isFresh(Instant lastHeard) {
+        return Duration.between(lastHeard, mNow).compareTo(mTiming.electionTimeout()) < 0;
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
@@ -0,0 +1,28 @@
+package org.ibisstand.consensus;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What a member knows about itself and its cluster.
+ *
+ * @param self the member
+ * @param leading whether it leads
+ * @param term its newest term
+ * @param leader the leader of that term, if known
+ * @param membership the members after the last entry of its log
+ * @param commitIndex the last entry known to be committed
+ * @param lastIndex the last entry of its log
+ * @param snapshotIndex the last entry that its snapshot covers
+ * @param matchIndexes for a leader: the last entry known to be durable at each member
+ */
+public record MemberStatus(
+        MemberIdentifier self,
+        boolean leading,
+        long term,
+        Optional<MemberIdentifier> leader,
+        Membership membership,
+        long commitIndex,
+        long lastIndex,
+        long snapshotIndex,
+        Map<MemberIdentifier, Long> matchIndexes) {}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/Progress.java
@@ -0,0 +1,85 @@
+package org.ibisstand.consensus;
+
+import java.time.Instant;
+
+/** What a leader knows about one member. */
+final class Progress {
+    private long mMatchIndex;
+    private long mNextIndex;
+    private boolean mProbing = true;
+    private Instant mLastContact;
+    private long mRound;
+    private long mSnapshotIndex;
+    private int mSnapshotOffset;
+
+    Progress(long nextIndex, Instant now) {
+        mNextIndex = nextIndex;
+        mLastContact = now;
+    }
+
+    /** Returns the last entry known to be durable at the member. */
+    long matchIndex() {
+        return mMatchIndex;
+    }
+
+    /** Returns the next entry to send. */
+    long nextIndex() {
+        return mNextIndex;
+    }
+
+    /** Returns whether it is still unknown where the member's log matches. */
+    boolean isProbing() {
+        return mProbing;
+    }
+
+    Instant lastContact() {
+        return mLastContact;
+    }
+
+    /** Returns the newest round in which the member followed the leader. */
+    long round() {
+        return mRound;
+    }
+
+    /** Returns the snapshot on its way to the member, or zero. */
+    long snapshotIndex() {
+        return mSnapshotIndex;
+    }
+
+    int snapshotOffset() {
+        return mSnapshotOffset;
+    }
+
+    void contacted(Instant now, long round) {
+        mLastContact = now;
+        mRound = Math.max(mRound, round);
+    }
+
+    void sent(int entries) {
+        mNextIndex += entries;
+    }
+
+    void accepted(long index) {
+        mMatchIndex = Math.max(mMatchIndex, index);
+        mNextIndex = Math.max(mNextIndex, mMatchIndex + 1);
+        mProbing = false;
+        if (mMatchIndex >= mSnapshotIndex) {
+            mSnapshotIndex = 0;
+        }
+    }
+
+    /** Goes back to where the member's log may match. */
+    void refused(long tryIndex) {
+        mNextIndex = Math.max(mMatchIndex, Math.min(mNextIndex - 1, tryIndex)) + 1;
+        mProbing = true;
+    }
+
+    void startSnapshot(long index) {
+        mSnapshotIndex = index;
+        mSnapshotOffset = 0;
+    }
+
+    void snapshotReceived(int nextOffset) {
+        mSnapshotOffset = nextOffset;
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/ibisstand/consensus/Replication.java
@@ -0,0 +1,116 @@
+package org.ibisstand.consensus;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Sends a leader's log to one member: entries, heartbeats, or a snapshot in parts. */
+final class Replication {
+    private final MemberState mState;
+    private long mEncodedIndex;
+    private byte[] mEncoded = new byte[0];
+
+    Replication(MemberState state) {
+        mState = state;
+    }
+
+    /** Sends what the member lacks, as far as the window allows. */
+    void sendEntries(MemberIdentifier member, Progress progress, long round) {
+        if (isSelf(member) || progress.isProbing() || progress.snapshotIndex() != 0) {
+            return;
+        }
+        while (progress.nextIndex() <= mState.log().lastIndex() && hasRoom(progress)) {
+            OptionalLong previousTerm = mState.log().termAt(progress.nextIndex() - 1);
+            if (previousTerm.isEmpty()) {
+                startSnapshot(member, progress);
+                return;
+            }
+            List<Entry> entries = mState.log().entriesFrom(progress.nextIndex(), mState.limits());
+            send(member, progress, previousTerm.getAsLong(), entries, round);
+            progress.sent(entries.size());
+        }
+    }
+
+    /** Asks whether the member's log matches just before the next entry. */
+    void probe(MemberIdentifier member, Progress progress, long round) {
+        heartbeat(member, progress, round);
+    }
+
+    /** Shows the member that the leader is alive, and finds out what it lacks. */
+    void heartbeat(MemberIdentifier member, Progress progress, long round) {
+        if (isSelf(member)) {
+            return;
+        }
+        if (progress.snapshotIndex() != 0) {
+            sendSnapshot(member, progress);
+            return;
+        }
+        OptionalLong previousTerm = mState.log().termAt(progress.nextIndex() - 1);
+        if (previousTerm.isEmpty()) {
+            startSnapshot(member, progress);
+        } else {
+            send(member, progress, previousTerm.getAsLong(), List.of(), round);
+        }
+    }
+
+    /** Sends the next part of the snapshot that is on its way to the member. */
+    void sendSnapshot(MemberIdentifier member, Progress progress) {
+        Snapshot snapshot = mState.log().snapshot().orElseThrow();
+        if (progress.snapshotIndex() != snapshot.index()) {
+            progress.startSnapshot(snapshot.index());
+        }
+        byte[] encoded = encoded(snapshot);
+        int offset = Math.min(progress.snapshotOffset(), encoded.length);
+        int end = Math.min(encoded.length, offset + mState.limits().snapshotChunkBytes());
+        mState.outbox()
+                .sendNow(
+                        member,
+                        new Message.SnapshotChunk(
+                                mState.term(),
+                                snapshot.index(),
+                                snapshot.term(),
+                                offset,
+                                encoded.length,
+                                Arrays.copyOfRange(encoded, offset, end)));
+    }
+
+    private void startSnapshot(MemberIdentifier member, Progress progress) {
+        progress.startSnapshot(mState.log().snapshot().orElseThrow().index());
+        sendSnapshot(member, progress);
+    }
+
+    private void send(
+            MemberIdentifier member,
+            Progress progress,
+            long previousTerm,
+            List<Entry> entries,
+            long round) {
+        mState.outbox()
+                .sendNow(
+                        member,
+                        new Message.AppendRequest(
+                                mState.term(),
+                                progress.nextIndex() - 1,
+                                previousTerm,
+                                entries,
+                                mState.commitIndex(),
+                                round));
+    }
+
+    private boolean hasRoom(Progress progress) {
+        long unacknowledged = progress.nextIndex() - 1 - progress.matchIndex();
+        return unacknowledged < mState.limits().unacknowledgedEntries();
+    }
+
+    private boolean isSelf(MemberIdentifier member) {
+        return member.equals(mState.self());
+    }
+
+    private byte[] encoded(Snapshot snapshot) {
+        if (mEncodedIndex != snapshot.index()) {
+            mEncoded = ContentCodec.encode(snapshot);
+            mEncodedIndex = snapshot.index();
+        }
+        return mEncoded;
+    }
+}
--- a/consensus/src/main/java/org/ibisstand/consensus/package-info.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/package-info.java
@@ -1,2 +1,2 @@
-/** Replicated log as a pure state machine. */
+/** A replicated log after the Raft algorithm, as a state machine without input or output. */
 package org.ibisstand.consensus;
--- a/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
+++ b/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 /**
@@ -13,8 +13,8 @@
  * fails syncs on request.
  */
 public final class MemoryDisk implements Disk {
-    private final Map<String, Content> mFiles = new HashMap<>();
-    private final Map<String, Content> mDurableFiles = new HashMap<>();
+    private final Map<String, Content> mFiles = new TreeMap<>();
+    private final Map<String, Content> mDurableFiles = new TreeMap<>();
     private long mCapacityBytes = Long.MAX_VALUE;
     private boolean mSyncFails;
     private int mSyncs;
