--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -139,6 +139,16 @@
         Duration lease = Duration.ofMillis(mSettings.timing().greatestLeaseMilliseconds());
         Registry registry = Registry.create(lease, mClock.instant());
         Proposals proposals = Proposals.create(log, mClock);
+        AgentConnections connections = AgentConnections.create();
+        WeightRollout rollout =
+                new WeightRollout(
+                        mControlThread,
+                        state,
+                        registry,
+                        proposals,
+                        connections,
+                        mClock,
+                        mSettings.limits().concurrentWeightLoads());
         return new ControlParts(
                 state,
                 log,
@@ -146,7 +156,8 @@
                 ClaimService.create(proposals, claimLimits()),
                 registry,
                 Watchers.create(state, registry),
-                AgentConnections.create(),
+                connections,
+                rollout,
                 Quorum.create(log, mClock));
     }
 
@@ -195,6 +206,7 @@
             mParts.registry().tick(mClock.instant());
             mParts.watchers().confirm(mParts.quorum().confirmed());
             mParts.watchers().flush();
+            rollOut();
         } catch (RuntimeException e) {
             Logger.error(e, "event=tick_failed member={}", mSettings.member());
         }
@@ -208,6 +220,14 @@
         return status.leaderAddress().isPresent() ? 0 : LEADERLESS_EPOCH;
     }
 
+    private void rollOut() {
+        if (mParts.log().status().leads()) {
+            mParts.rollout().tick();
+        } else {
+            mParts.rollout().stopLeading();
+        }
+    }
+
     private void takeStatus() {
         mStatus = ControlStatus.of(mSettings.member(), mParts);
     }
--- a/control/src/main/java/org/ibisstand/control/ControlParts.java
+++ b/control/src/main/java/org/ibisstand/control/ControlParts.java
@@ -10,6 +10,7 @@
  * @param registry the agents that announced themselves
  * @param watchers the processes that follow configuration and registry
  * @param agentConnections how agents are reached
+ * @param rollout brings weights to the engines
  * @param quorum whether the member is in touch with a majority
  */
 record ControlParts(
@@ -20,4 +21,5 @@
         Registry registry,
         Watchers watchers,
         AgentConnections agentConnections,
+        WeightRollout rollout,
         Quorum quorum) {}
