Run the replicated log on disk, wire and control thread

Cause: control had a log interface and a log of one member in memory; claims and configuration need one that survives crashes and lost disks.

Ruled out: a setting that says "found the group", since a member that lost its disk would found a second one with it. Instead the first member by name founds the group only when all first members say at that moment that their disks are empty and that they know the same list; a member with an empty disk and formed or unreachable peers waits to be added.

Change: ReplicatedLog joins the consensus state machine with the control thread, a storage thread that gives one sync to all writes that gathered, and one connection to each member. Adding a member learns its identity, adds a learner, waits until it has caught up, removes the lost member of the same name, and gives the vote; a repeated request goes on where it ended. A disk failure or an unexpected fault stops the member for good.

--- a/consensus/src/main/java/org/ibisstand/consensus/MemberIdentifier.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberIdentifier.java
@@ -17,6 +17,12 @@
         return new MemberIdentifier(name + "." + Long.toHexString(folderIdentity));
     }
 
+    /** Returns the member's name, which stays the same when its disk is replaced. */
+    public String name() {
+        int dot = value.lastIndexOf('.');
+        return dot < 0 ? value : value.substring(0, dot);
+    }
+
     @Override
     public int compareTo(MemberIdentifier other) {
         return value.compareTo(other.value);
--- a/control/src/main/java/org/ibisstand/control/LogStatus.java
+++ b/control/src/main/java/org/ibisstand/control/LogStatus.java
@@ -30,6 +30,12 @@
         return role == Role.LEADER;
     }
 
+    /** Returns this status for a member that takes no part in its group any more. */
+    LogStatus outOfTouch() {
+        return new LogStatus(
+                Role.CANDIDATE, term, Optional.empty(), committedIndex, appliedIndex, members);
+    }
+
     /** What a member is in its term. */
     public enum Role {
         LEADER,
--- /dev/null
+++ b/control/src/main/java/org/ibisstand/control/MemberConnections.java
@@ -0,0 +1,101 @@
+package org.ibisstand.control;
+
+import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import org.ibisstand.consensus.MemberIdentifier;
+import org.ibisstand.control.message.MemberPayload;
+import org.ibisstand.settings.Address;
+import org.ibisstand.wire.FrameHandler;
+import org.ibisstand.wire.WireClient;
+import org.ibisstand.wire.WireConnection;
+import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.message.ConsensusEnvelope;
+import org.ibisstand.wire.message.Frame;
+
+/**
+ * Carries messages to the other members; used on the control thread. A message that cannot be sent
+ * at once is dropped, since consensus repeats what matters.
+ */
+final class MemberConnections implements AutoCloseable {
+    private final MemberIdentifier mSelf;
+    private final WireContext mContext;
+    private final Executor mControlThread;
+    private final BiConsumer<WireConnection, ConsensusEnvelope> mReceiver;
+    private final Map<String, WireClient> mClients = new HashMap<>();
+    private final Map<MemberIdentifier, WireConnection> mInbound = new HashMap<>();
+
+    MemberConnections(
+            MemberIdentifier self,
+            WireContext context,
+            Executor controlThread,
+            BiConsumer<WireConnection, ConsensusEnvelope> receiver) {
+        mSelf = self;
+        mContext = context;
+        mControlThread = controlThread;
+        mReceiver = receiver;
+    }
+
+    /** Sends to an address, which is connected to if need be. */
+    void send(String address, MemberPayload payload) {
+        client(address).connection().ifPresent(connection -> send(connection, payload));
+    }
+
+    void send(WireConnection connection, MemberPayload payload) {
+        if (connection.isOpen() && connection.isWritable()) {
+            ByteString bytes = payload.toByteString();
+            ConsensusEnvelope.Builder envelope =
+                    ConsensusEnvelope.newBuilder().setMember(mSelf.value()).setPayload(bytes);
+            connection.send(0, Frame.newBuilder().setConsensus(envelope));
+        }
+    }
+
+    /** Answers a member whose address is not known, where it was last heard. */
+    void sendBack(MemberIdentifier member, MemberPayload payload) {
+        Optional.ofNullable(mInbound.get(member))
+                .ifPresent(connection -> send(connection, payload));
+    }
+
+    void heard(MemberIdentifier member, WireConnection connection) {
+        mInbound.put(member, connection);
+    }
+
+    /** Closes the connections to all other addresses, and forgets members that are gone. */
+    void keepOnly(Set<String> addresses) {
+        mClients.entrySet().removeIf(entry -> closeUnless(addresses, entry));
+        mInbound.values().removeIf(connection -> !connection.isOpen());
+    }
+
+    @Override
+    public void close() {
+        mClients.values().forEach(WireClient::close);
+        mClients.clear();
+    }
+
+    private WireClient client(String address) {
+        return mClients.computeIfAbsent(address, this::connect);
+    }
+
+    private WireClient connect(String text) {
+        Address address = Address.parse(text);
+        FrameHandler handler =
+                (connection, frame) ->
+                        mControlThread.execute(
+                                () -> mReceiver.accept(connection, frame.getConsensus()));
+        InetSocketAddress target = new InetSocketAddress(address.host(), address.port());
+        return WireClient.connect(mContext, target, handler);
+    }
+
+    private static boolean closeUnless(Set<String> addresses, Map.Entry<String, WireClient> entry) {
+        if (addresses.contains(entry.getKey())) {
+            return false;
+        }
+        entry.getValue().close();
+        return true;
+    }
+}
