Bound retries, hedge late short calls and hold teams to their limits at the entry

Cause: the entry retried without a budget and had one attempt at a time. Ruled out: a second attempt for every late call (doubles the load at the crest); hedging claimed calls (they must not run twice).

--- a/entry/src/main/java/org/ibisstand/entry/AnswerAssembler.java
+++ b/entry/src/main/java/org/ibisstand/entry/AnswerAssembler.java
@@ -9,7 +9,7 @@
 import org.ibisstand.wire.message.ResponseHead;
 
 /**
- * Passes an answer on to the caller, small ones as a whole.
+ * Passes the answer of one attempt on to the caller, small ones as a whole.
  *
  * <p>Until something was passed on, another attempt can still answer in place of a failed one.
  */
@@ -34,13 +34,6 @@
         return mStarted;
     }
 
-    /** Forgets what a failed attempt answered so far. */
-    void reset() {
-        mHeld.reset();
-        mConsumed.clear();
-        mHead = Optional.empty();
-    }
-
     void head(ResponseHead head) {
         mHead = Optional.of(head);
     }
@@ -72,7 +65,8 @@
         byte[] held = mHeld.toByteArray();
         List<Runnable> consumed = List.copyOf(mConsumed);
         mSink.data(held, () -> consumed.forEach(Runnable::run));
-        reset();
+        mHeld.reset();
+        mConsumed.clear();
     }
 
     private boolean isEventStream() {
--- a/entry/src/main/java/org/ibisstand/entry/Call.java
+++ b/entry/src/main/java/org/ibisstand/entry/Call.java
@@ -20,6 +20,7 @@
  * @param headers the headers towards the backend server
  * @param body the body towards the backend server
  * @param priorityClass the class that the request is served in
+ * @param received when it arrived
  * @param deadline when an answer is worth nothing any more
  * @param idempotent whether the request may run more than once
  * @param idempotencyKey names a request that may run only once, so that it can be sent again
@@ -33,9 +34,12 @@
         List<Header> headers,
         byte[] body,
         PriorityClass priorityClass,
+        Instant received,
         Instant deadline,
         boolean idempotent,
         Optional<String> idempotencyKey) {
+    private static final int SHORT_PROMPT_BYTES = 4096;
+
     /** What a request is for. */
     sealed interface Target {
         /**
@@ -62,6 +66,14 @@
         return !idempotent && idempotencyKey.isPresent();
     }
 
+    /** Returns whether the request is little work, so that a second attempt wastes little. */
+    boolean isShort() {
+        return switch (target) {
+            case Target.Model model -> model.chain().promptBytes() <= SHORT_PROMPT_BYTES;
+            case Target.Service service -> true;
+        };
+    }
+
     /** Returns whether the answer is an event stream. */
     boolean isStream() {
         return target instanceof Target.Model model && model.stream();
--- a/entry/src/main/java/org/ibisstand/entry/CallReader.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallReader.java
@@ -114,6 +114,7 @@
         boolean stream = mPrompts.isStream(body);
         CacheSalt salt = CacheSalt.of(team.name(), model.name(), model.weightsVersion());
         PrefixChain chain = PrefixChain.of(salt, mPrompts.prompt(body), model.pieceBytes());
+        Instant now = mClock.instant();
         PriorityClass priorityClass = priorityClass(model.priorityClass(), configuration);
         return new Call(
                 identifier,
@@ -124,7 +125,8 @@
                 List.of(header("content-type", "application/json")),
                 mPrompts.forEngine(body, salt, stream),
                 priorityClass,
-                deadline(priorityClass),
+                now,
+                deadline(priorityClass, now),
                 true,
                 Optional.empty());
     }
@@ -136,6 +138,7 @@
         String name = pathOf(slash < 0 ? below : below.substring(0, slash));
         String path = slash < 0 ? "/" : below.substring(slash);
         Service service = service(name, team, configuration);
+        Instant now = mClock.instant();
         PriorityClass priorityClass = priorityClass(service.priorityClass(), configuration);
         String method = request.method().name();
         return new Call(
@@ -147,7 +150,8 @@
                 endToEndHeaders(request),
                 ByteBufUtil.getBytes(request.content()),
                 priorityClass,
-                deadline(priorityClass),
+                now,
+                deadline(priorityClass, now),
                 service.isIdempotent(method, pathOf(path)),
                 idempotencyKey(request));
     }
@@ -183,8 +187,8 @@
                                         ErrorCode.INTERNAL, "no priority class " + name));
     }
 
-    private Instant deadline(PriorityClass priorityClass) {
-        return mClock.instant().plusMillis(priorityClass.deadlineMilliseconds());
+    private static Instant deadline(PriorityClass priorityClass, Instant received) {
+        return received.plusMillis(priorityClass.deadlineMilliseconds());
     }
 
     private static Optional<String> idempotencyKey(FullHttpRequest request) {
--- a/entry/src/main/java/org/ibisstand/entry/CallerContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerContext.java
@@ -2,11 +2,13 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.EventExecutor;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.Verdict;
 import org.tinylog.Logger;
 
 /** What the connections of all callers share; may be used by any thread. */
@@ -41,18 +43,26 @@
         return mReader.read(identifier, request, mFlows.state());
     }
 
+    /**
+     * Counts a call in.
+     *
+     * @return why the call is refused, or nothing
+     */
+    Optional<Verdict.NotRun> begin(Call call) {
+        return mFlows.requestBegun(call);
+    }
+
     Flow flow(Call call, EventExecutor executor, AnswerSink sink) {
-        mFlows.requestBegun();
         return new Flow(call, mFlows, executor, sink);
     }
 
-    void refused(String identifier, IbisstandException refusal) {
+    void refused(String identifier, Verdict.NotRun refusal) {
         mFlows.metrics().refused();
         Logger.info(
                 "event=refused request={} verdict=not-run code={} message={}",
                 identifier,
                 refusal.code(),
-                refusal.getMessage());
+                refusal.message());
     }
 
     boolean isDraining() {
--- a/entry/src/main/java/org/ibisstand/entry/CallerHandler.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerHandler.java
@@ -53,16 +53,28 @@
                         () -> answered(channel));
         try {
             requireDecoded(request.decoderResult());
-            Call call = mContext.read(identifier, request);
-            Flow flow = mContext.flow(call, channel.executor(), sink);
-            mFlow = Optional.of(flow);
-            flow.start();
+            begin(channel, mContext.read(identifier, request), sink);
         } catch (IbisstandException e) {
-            mContext.refused(identifier, e);
-            sink.fail(new Verdict.NotRun(e.code(), e.getMessage()));
+            refuse(identifier, new Verdict.NotRun(e.code(), e.getMessage()), sink);
         }
     }
 
+    private void begin(ChannelHandlerContext channel, Call call, HttpAnswerSink sink) {
+        Optional<Verdict.NotRun> refusal = mContext.begin(call);
+        if (refusal.isPresent()) {
+            refuse(call.request(), refusal.get(), sink);
+            return;
+        }
+        Flow flow = mContext.flow(call, channel.executor(), sink);
+        mFlow = Optional.of(flow);
+        flow.start();
+    }
+
+    private void refuse(String identifier, Verdict.NotRun verdict, HttpAnswerSink sink) {
+        mContext.refused(identifier, verdict);
+        sink.fail(verdict);
+    }
+
     private void answered(ChannelHandlerContext channel) {
         mBusy = false;
         mFlow = Optional.empty();
--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -3,24 +3,23 @@
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.AgentIdentifier;
-import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
-import org.ibisstand.routing.Observation;
+import org.ibisstand.routing.Deadline;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.AttemptIdentifier;
 import org.ibisstand.wire.message.ClaimReply;
-import org.ibisstand.wire.message.End;
-import org.ibisstand.wire.message.ResponseHead;
 import org.ibisstand.wire.message.Submit;
 
 /**
@@ -29,42 +28,35 @@
  *
  * <p>All methods belong to the event loop of the caller.
  */
-final class Flow implements InboundListener {
+final class Flow implements Attempt.Owner {
     private static final int MOST_ATTEMPTS = 64;
 
     private final Call mCall;
     private final FlowContext mContext;
     private final EventExecutor mExecutor;
     private final AnswerSink mSink;
-    private final AnswerAssembler mAnswer;
     private final Set<AgentIdentifier> mExcluded = new HashSet<>();
-    private Optional<InboundStream> mStream = Optional.empty();
+    private final List<Attempt> mActive = new ArrayList<>();
+    private final List<ScheduledFuture<?>> mTimers = new ArrayList<>();
+    private Optional<Attempt> mAnswering = Optional.empty();
     private Optional<AttemptIdentifier> mTombstoned = Optional.empty();
-    private Optional<BoundAttempt> mBound = Optional.empty();
-    private Optional<ScheduledFuture<?>> mDeadlineTimer = Optional.empty();
-    private Optional<AgentIdentifier> mAgent = Optional.empty();
-    private Verdict mLastVerdict;
+    private Optional<ClaimedAttempt> mClaimed = Optional.empty();
     private Optional<Choice> mChoice = Optional.empty();
-    private Optional<Observation> mObservation = Optional.empty();
+    private Verdict mLastVerdict =
+            new Verdict.NotRun(ErrorCode.NO_AGENT_AVAILABLE, "no live agent serves it");
     private int mAttempts;
+    private boolean mHedged;
     private boolean mOver;
 
-    private record BoundAttempt(
-            AttemptIdentifier attempt, AgentIdentifier agent, BootIdentifier boot) {}
-
     Flow(Call call, FlowContext context, EventExecutor executor, AnswerSink sink) {
         mCall = call;
         mContext = context;
         mExecutor = executor;
         mSink = sink;
-        mAnswer = new AnswerAssembler(sink, call.isStream());
-        mLastVerdict = new Verdict.NotRun(ErrorCode.NO_AGENT_AVAILABLE, "no live agent serves it");
     }
 
     void start() {
-        long left = mCall.timeLeft(mContext.now()).toMillis();
-        mDeadlineTimer =
-                Optional.of(mExecutor.schedule(this::deadlinePassed, left, TimeUnit.MILLISECONDS));
+        after(mCall.timeLeft(mContext.now()), this::deadlinePassed);
         place();
     }
 
@@ -72,8 +64,6 @@
     void callerGone() {
         if (!mOver) {
             over();
-            mStream.ifPresent(InboundStream::cancel);
-            attemptEnded();
             mContext.metrics().callerGone();
         }
     }
@@ -83,8 +73,8 @@
             return;
         }
         mAttempts++;
-        if (mBound.isPresent()) {
-            submitBound(mBound.get());
+        if (mClaimed.isPresent()) {
+            submitClaimed(mClaimed.get());
             return;
         }
         new PlacementFlow(mCall, mContext, mExecutor, this::placed).start(Set.copyOf(mExcluded));
@@ -103,25 +93,18 @@
             claim(choice.get().agent());
         } else {
             submit(choice.get().agent(), Optional.empty());
+            hedgeWhenLate();
         }
     }
 
     private void noAgentLeft() {
-        boolean overloaded =
-                mLastVerdict instanceof Verdict.NotRun notRun
-                        && notRun.code() == ErrorCode.OVERLOADED;
-        if (overloaded || mAttempts >= MOST_ATTEMPTS) {
+        if (mAttempts >= MOST_ATTEMPTS) {
             finishWith(mLastVerdict);
             return;
         }
         // Agents that failed may be back, and others may have been announced.
         mExcluded.clear();
-        placeLater();
-    }
-
-    private void placeLater() {
-        Duration pause = mContext.backoff(mAttempts);
-        mExecutor.schedule(this::place, pause.toMillis(), TimeUnit.MILLISECONDS);
+        after(mContext.backoff(mAttempts), this::place);
     }
 
     private void claim(AgentView agent) {
@@ -145,19 +128,16 @@
             finishWith(unclaimed(failure));
             return;
         }
-        ClaimReply claim = reply.get();
-        switch (claim.getResult()) {
+        switch (reply.get().getResult()) {
             case GRANTED, BOUND -> {
                 mTombstoned = Optional.empty();
-                BoundAttempt bound =
-                        new BoundAttempt(
-                                claim.getAttempt(),
-                                new AgentIdentifier(claim.getAgent()),
-                                new BootIdentifier(claim.getBoot()));
-                mBound = Optional.of(bound);
-                submitBound(bound);
+                mClaimed = Optional.of(ClaimedAttempt.of(reply.get()));
+                submitClaimed(mClaimed.get());
+            }
+            case FINISHED -> {
+                over();
+                RecordedAnswer.send(reply.get(), mSink);
             }
-            case FINISHED -> RecordedAnswer.send(claim, takeSink());
             case BODY_MISMATCH ->
                     finishWith(
                             new Verdict.NotRun(
@@ -172,12 +152,7 @@
         }
     }
 
-    private AnswerSink takeSink() {
-        over();
-        return mSink;
-    }
-
-    private Verdict unclaimed(Throwable failure) {
+    private static Verdict unclaimed(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         ErrorCode code =
                 cause instanceof IbisstandException known ? known.code() : ErrorCode.INTERNAL;
@@ -185,90 +160,138 @@
                 code, "the request could not be claimed; resend it with the same key");
     }
 
-    private void submitBound(BoundAttempt bound) {
-        Optional<AgentView> agent = mContext.state().fleet().find(bound.agent());
-        boolean sameBoot = agent.filter(view -> view.boot().equals(bound.boot())).isPresent();
-        if (!sameBoot && mContext.state().fleet().agents().isEmpty()) {
-            placeLater();
-        } else if (!sameBoot) {
+    private void submitClaimed(ClaimedAttempt claimed) {
+        Optional<AgentView> agent = mContext.state().fleet().find(claimed.agent());
+        boolean sameBoot = agent.filter(view -> view.boot().equals(claimed.boot())).isPresent();
+        if (sameBoot) {
+            submit(agent.get(), Optional.of(claimed.attempt()));
+        } else if (mContext.state().fleet().agents().isEmpty()) {
+            // The registry is not known yet, so nothing can be said of the agent.
+            after(mContext.backoff(mAttempts), this::place);
+        } else {
             finishWith(
                     new Verdict.MayHaveRun(
                             ErrorCode.OUTCOME_UNKNOWN,
                             "the agent that the request was bound to is gone"));
-        } else {
-            submit(agent.get(), Optional.of(bound.attempt()));
         }
     }
 
-    private void submit(AgentView agent, Optional<AttemptIdentifier> attempt) {
+    private void submit(AgentView agent, Optional<AttemptIdentifier> identifier) {
+        Attempt attempt =
+                new Attempt(
+                        agent.agent(),
+                        mContext,
+                        mChoice,
+                        new AnswerAssembler(mSink, mCall.isStream()),
+                        this);
+        mActive.add(attempt);
         Optional<WireConnection> connection = mContext.connections().find(agent.agent());
-        mAgent = Optional.of(agent.agent());
         if (connection.isEmpty()) {
-            failed(
+            attempt.failed(
                     new Verdict.NotRun(ErrorCode.AGENT_UNREACHABLE, "no connection to the agent"),
                     true);
             return;
         }
-        mObservation = mContext.observe(mChoice);
-        mContext.loads().started(agent.agent());
-        Submit submit = Submits.of(mCall, mChoice, agent, attempt, mContext.now(), mAttempts);
-        mStream =
-                Optional.of(
-                        InboundStream.submit(
-                                agent.agent(),
-                                mContext.connections(),
-                                mExecutor,
-                                mContext.clock(),
-                                connection.get(),
-                                submit,
-                                this));
+        Submit submit = Submits.of(mCall, mChoice, agent, identifier, mContext.now(), mAttempts);
+        attempt.attach(
+                InboundStream.submit(
+                        agent.agent(),
+                        mContext.connections(),
+                        mExecutor,
+                        mContext.clock(),
+                        connection.get(),
+                        submit,
+                        attempt));
     }
 
-    @Override
-    public void head(ResponseHead head) {
-        mAnswer.head(head);
+    private void hedgeWhenLate() {
+        if (!mHedged) {
+            mContext.hedging()
+                    .delay(mCall.idempotent(), mCall.isShort(), mContext.now())
+                    .ifPresent(delay -> after(delay, this::hedge));
+        }
     }
 
-    @Override
-    public void data(byte[] bytes, Runnable consumed) {
-        mObservation.ifPresent(mContext::firstByteSeen);
-        mObservation = Optional.empty();
-        if (!mOver) {
-            mAnswer.data(bytes, consumed);
-            mDeadlineTimer.filter(timer -> mAnswer.isStarted()).ifPresent(one -> one.cancel(false));
+    private void hedge() {
+        boolean late = !mOver && !mHedged && mAnswering.isEmpty() && mActive.size() == 1;
+        if (!late || !mContext.hedging().take(mContext.now())) {
+            return;
+        }
+        mHedged = true;
+        Set<AgentIdentifier> excluded = new HashSet<>(mExcluded);
+        mActive.forEach(attempt -> excluded.add(attempt.agent()));
+        new PlacementFlow(mCall, mContext, mExecutor, this::hedgePlaced).start(excluded);
+    }
+
+    private void hedgePlaced(Optional<Choice> choice) {
+        if (!mOver && mAnswering.isEmpty() && choice.isPresent()) {
+            mChoice = choice;
+            submit(choice.get().agent(), Optional.empty());
         }
     }
 
     @Override
-    public void end(End end) {
-        attemptEnded();
-        if (!mOver) {
-            over();
-            mAnswer.end();
-            mContext.completed(mCall, mAgent);
+    public boolean mayAnswer(Attempt attempt) {
+        if (mOver) {
+            return false;
+        }
+        if (mAnswering.isEmpty()) {
+            mAnswering = Optional.of(attempt);
+            boolean second = mHedged && mActive.indexOf(attempt) > 0;
+            mContext.answering(mCall, attempt, second);
+            cancelOthers(attempt);
         }
+        return mAnswering.get() == attempt;
+    }
+
+    private void cancelOthers(Attempt answering) {
+        List<Attempt> others = mActive.stream().filter(one -> one != answering).toList();
+        mActive.removeAll(others);
+        others.forEach(Attempt::cancel);
+    }
+
+    @Override
+    public void ended(Attempt attempt) {
+        over();
+        attempt.answerEnd();
+        mContext.completed(mCall, attempt.agent());
     }
 
     @Override
-    public void failed(Verdict verdict, boolean connectionLost) {
-        attemptEnded();
+    public void failed(Attempt attempt, Verdict verdict, boolean connectionLost) {
+        mActive.remove(attempt);
         if (mOver) {
             return;
         }
         mLastVerdict = verdict;
-        boolean claimed = mBound.isPresent();
-        if (mAnswer.isStarted()) {
+        mAnswering = mAnswering.filter(one -> one != attempt);
+        if (attempt.isStarted()) {
             finishWith(asMayHaveRun(verdict));
-        } else if (claimed) {
+        } else if (mClaimed.isPresent()) {
             failedClaimed(verdict, connectionLost);
-        } else if (verdict.allowsRetry(mCall.idempotent()) && mAttempts < MOST_ATTEMPTS) {
-            mAnswer.reset();
-            mAgent.ifPresent(mExcluded::add);
-            mContext.metrics().retried();
-            place();
-        } else {
+        } else if (mActive.isEmpty()) {
+            retry(attempt, verdict);
+        }
+    }
+
+    private void retry(Attempt attempt, Verdict verdict) {
+        mExcluded.add(attempt.agent());
+        int untried = Math.max(0, mContext.group(mCall).size() - mExcluded.size());
+        Optional<Duration> pause =
+                mContext.retries()
+                        .backoff(
+                                verdict,
+                                mCall.idempotent(),
+                                mAttempts,
+                                untried,
+                                new Deadline(mCall.deadline()),
+                                mContext.now());
+        if (pause.isEmpty() || mAttempts >= MOST_ATTEMPTS) {
             finishWith(verdict);
+            return;
         }
+        mContext.metrics().retried();
+        after(pause.get(), this::place);
     }
 
     /**
@@ -279,55 +302,33 @@
      * became of the attempt; it is asked by submitting the same attempt again.
      */
     private void failedClaimed(Verdict verdict, boolean connectionLost) {
-        mAnswer.reset();
         if (connectionLost) {
-            placeLater();
-            return;
-        }
-        if (verdict instanceof Verdict.NotRun notRun && mayMove(notRun)) {
-            mTombstoned = mBound.map(BoundAttempt::attempt);
-            mBound.map(BoundAttempt::agent).ifPresent(mExcluded::add);
-            mBound = Optional.empty();
+            after(mContext.backoff(mAttempts), this::place);
+        } else if (verdict instanceof Verdict.NotRun && mAttempts < MOST_ATTEMPTS) {
+            mTombstoned = mClaimed.map(ClaimedAttempt::attempt);
+            mClaimed.map(ClaimedAttempt::agent).ifPresent(mExcluded::add);
+            mClaimed = Optional.empty();
             place();
-            return;
+        } else {
+            finishWith(verdict);
         }
-        finishWith(verdict);
-    }
-
-    private boolean mayMove(Verdict.NotRun verdict) {
-        return verdict.code() != ErrorCode.CALLER_GONE && mAttempts < MOST_ATTEMPTS;
-    }
-
-    private void attemptEnded() {
-        mStream.ifPresent(stream -> mAgent.ifPresent(mContext.loads()::finished));
-        mStream = Optional.empty();
-        mObservation.ifPresent(mContext::abandoned);
-        mObservation = Optional.empty();
     }
 
     private void deadlinePassed() {
-        if (mOver || mAnswer.isStarted()) {
+        if (mOver || mAnswering.filter(Attempt::isStarted).isPresent()) {
             return;
         }
-        boolean submitted = mStream.isPresent() || mBound.isPresent();
-        mStream.ifPresent(InboundStream::cancel);
-        attemptEnded();
         String message = "no answer before the deadline";
+        boolean submitted = !mActive.isEmpty() || mClaimed.isPresent();
         if (submitted) {
             finishWith(new Verdict.MayHaveRun(ErrorCode.DEADLINE_EXCEEDED, message));
-        } else if (mLastVerdict instanceof Verdict.MayHaveRun) {
+        } else if (mAttempts > 1) {
             finishWith(mLastVerdict);
         } else {
-            finishWith(lastRefusal(message));
+            finishWith(new Verdict.NotRun(ErrorCode.DEADLINE_EXCEEDED, message));
         }
     }
 
-    private Verdict lastRefusal(String message) {
-        return mAttempts > 1
-                ? mLastVerdict
-                : new Verdict.NotRun(ErrorCode.DEADLINE_EXCEEDED, message);
-    }
-
     private static Verdict asMayHaveRun(Verdict verdict) {
         return switch (verdict) {
             case Verdict.NotRun notRun -> new Verdict.MayHaveRun(notRun.code(), notRun.message());
@@ -347,7 +348,13 @@
 
     private void over() {
         mOver = true;
-        mDeadlineTimer.ifPresent(timer -> timer.cancel(false));
-        mContext.requestOver();
+        mTimers.forEach(timer -> timer.cancel(false));
+        List.copyOf(mActive).forEach(Attempt::cancel);
+        mActive.clear();
+        mContext.requestOver(mCall);
+    }
+
+    private void after(Duration pause, Runnable action) {
+        mTimers.add(mExecutor.schedule(action, pause.toNanos(), TimeUnit.NANOSECONDS));
     }
 }
--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -9,18 +9,27 @@
 import java.util.random.RandomGenerator;
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.Verdict;
+import org.ibisstand.routing.AgentGroup;
 import org.ibisstand.routing.AgentLoads;
 import org.ibisstand.routing.Choice;
+import org.ibisstand.routing.Hedging;
 import org.ibisstand.routing.Observation;
 import org.ibisstand.routing.Offer;
 import org.ibisstand.routing.Placement;
+import org.ibisstand.routing.RetryBudget;
+import org.ibisstand.routing.RetryPolicy;
 import org.ibisstand.routing.ServerObservations;
+import org.ibisstand.routing.TeamLimits;
 import org.tinylog.Logger;
 
 /** What all flows of one entry share; may be used by any thread. */
 final class FlowContext {
     private static final long SHORTEST_BACKOFF_MILLISECONDS = 20;
     private static final long LONGEST_BACKOFF_MILLISECONDS = 400;
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRIES_PER_SECOND = 5;
+    private static final double MOST_SAVED_RETRIES = 100;
+    private static final double HEDGE_SHARE = 0.05;
     private static final int LARGEST_SHIFT = 8;
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
@@ -31,6 +40,10 @@
     private final Placement mPlacement;
     private final AgentLoads mLoads;
     private final ServerObservations mObservations;
+    private final TeamLimits mLimits;
+    private final RetryBudget mRetryBudget;
+    private final RetryPolicy mRetries;
+    private final Hedging mHedging;
     private final RandomGenerator mRandom;
     private final EntryMetrics mMetrics;
     private final AtomicInteger mInProgress = new AtomicInteger();
@@ -45,6 +58,7 @@
             ServerObservations observations,
             RandomGenerator random,
             EntryMetrics metrics) {
+        Instant now = clock.instant();
         mClock = clock;
         mState = state;
         mConnections = connections;
@@ -52,6 +66,10 @@
         mPlacement = placement;
         mLoads = loads;
         mObservations = observations;
+        mLimits = TeamLimits.create(clock);
+        mRetryBudget = RetryBudget.create(RETRY_SHARE, RETRIES_PER_SECOND, MOST_SAVED_RETRIES, now);
+        mRetries = RetryPolicy.create(mRetryBudget, random);
+        mHedging = Hedging.create(HEDGE_SHARE, now);
         mRandom = random;
         mMetrics = metrics;
     }
@@ -88,12 +106,35 @@
         return mMetrics;
     }
 
-    void requestBegun() {
-        mInProgress.incrementAndGet();
+    RetryPolicy retries() {
+        return mRetries;
     }
 
-    void requestOver() {
+    Hedging hedging() {
+        return mHedging;
+    }
+
+    /** Returns the agents that could serve a call. */
+    AgentGroup group(Call call) {
+        return switch (call.target()) {
+            case Call.Target.Model model ->
+                    state().fleet().ofModel(model.model(), model.weightsVersion());
+            case Call.Target.Service service -> state().fleet().ofService(service.service());
+        };
+    }
+
+    /** Counts a call in, unless its team is at a limit. */
+    Optional<Verdict.NotRun> requestBegun(Call call) {
+        Optional<Verdict.NotRun> refusal = mLimits.tryStart(call.team());
+        if (refusal.isEmpty()) {
+            mInProgress.incrementAndGet();
+        }
+        return refusal;
+    }
+
+    void requestOver(Call call) {
         mInProgress.decrementAndGet();
+        mLimits.finished(call.team().name(), Duration.between(call.received(), now()));
     }
 
     int inProgress() {
@@ -127,13 +168,24 @@
         mObservations.abandoned(observation, now());
     }
 
-    void completed(Call call, Optional<AgentIdentifier> agent) {
+    /** Notes which attempt of a call answers. */
+    void answering(Call call, Attempt attempt, boolean second) {
+        if (call.idempotent() && call.isShort()) {
+            mHedging.observed(Duration.between(attempt.begun(), now()), now());
+        }
+        if (second) {
+            mHedging.won();
+        }
+    }
+
+    void completed(Call call, AgentIdentifier agent) {
         mMetrics.completed();
+        mRetryBudget.succeeded();
         Logger.info(
                 "event=request request={} team={} verdict=completed agent={}",
                 call.request(),
                 call.team().name(),
-                agent.map(AgentIdentifier::value).orElse("-"));
+                agent);
     }
 
     void failed(Call call, Verdict verdict) {
--- a/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
+++ b/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
@@ -9,7 +9,6 @@
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.PrefixChain;
-import org.ibisstand.routing.AgentGroup;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
 import org.ibisstand.routing.Placement;
@@ -43,20 +42,12 @@
     }
 
     void start(Set<AgentIdentifier> excluded) {
-        PlacementRequest request = new PlacementRequest(group(), chain(), excluded);
+        PlacementRequest request = new PlacementRequest(mContext.group(mCall), chain(), excluded);
         Placement.Start start = mContext.placement().begin(request, mContext.now());
         mRound = start.round();
         perform(start.step());
     }
 
-    private AgentGroup group() {
-        var fleet = mContext.state().fleet();
-        return switch (mCall.target()) {
-            case Call.Target.Model model -> fleet.ofModel(model.model(), model.weightsVersion());
-            case Call.Target.Service service -> fleet.ofService(service.service());
-        };
-    }
-
     private Optional<PrefixChain> chain() {
         return switch (mCall.target()) {
             case Call.Target.Model model -> Optional.of(model.chain());
