--- a/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
@@ -12,6 +12,7 @@
 import org.ibisstand.routing.Question;
 import org.ibisstand.wire.Failures;
 import org.ibisstand.wire.FrameHandler;
+import org.ibisstand.wire.OutboundStream;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.EngineOrder;
 import org.ibisstand.wire.message.Frame;
--- a/agent/src/main/java/org/ibisstand/agent/Execution.java
+++ b/agent/src/main/java/org/ibisstand/agent/Execution.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.ibisstand.base.PrefixChain;
+import org.ibisstand.wire.OutboundStream;
 import org.ibisstand.wire.message.End;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.Header;
--- a/agent/src/main/java/org/ibisstand/agent/Streams.java
+++ b/agent/src/main/java/org/ibisstand/agent/Streams.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.ibisstand.wire.OutboundStream;
 import org.ibisstand.wire.WireConnection;
 
 /**
--- a/agent/src/main/java/org/ibisstand/agent/Workload.java
+++ b/agent/src/main/java/org/ibisstand/agent/Workload.java
@@ -23,6 +23,7 @@
 import org.ibisstand.routing.Work;
 import org.ibisstand.routing.WorkQueue;
 import org.ibisstand.wire.Failures;
+import org.ibisstand.wire.OutboundStream;
 import org.ibisstand.wire.message.End;
 import org.ibisstand.wire.message.Header;
 import org.ibisstand.wire.message.Outcome;
--- a/entry/src/main/java/org/ibisstand/entry/InboundStream.java
+++ b/entry/src/main/java/org/ibisstand/entry/InboundStream.java
@@ -12,6 +12,7 @@
 import org.ibisstand.base.Verdict;
 import org.ibisstand.wire.AnswerHandler;
 import org.ibisstand.wire.Failures;
+import org.ibisstand.wire.StreamReader;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.Acknowledge;
 import org.ibisstand.wire.message.Cancel;
@@ -36,7 +37,7 @@
     private final EventExecutor mExecutor;
     private final Clock mClock;
     private final InboundListener mListener;
-    private final StreamReader mReader = new StreamReader();
+    private final StreamReader mReader = StreamReader.create();
     private WireConnection mConnection;
     private long mCorrelation;
     private Optional<ResponseHead> mHead = Optional.empty();
--- a/agent/src/main/java/org/ibisstand/agent/OutboundStream.java
+++ b/wire/src/main/java/org/ibisstand/wire/OutboundStream.java
@@ -1,39 +1,37 @@
-package org.ibisstand.agent;
+package org.ibisstand.wire;
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.zip.CRC32C;
-import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.Chunk;
 import org.ibisstand.wire.message.End;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.ResponseHead;
 
 /**
- * The agent's end of one answer: numbers its chunks and keeps them until they are acknowledged.
+ * The sending end of one answer: numbers its chunks and keeps them until they are acknowledged.
  *
  * <p>A stream that lost its connection can be attached to another one and goes on from the chunk
  * that the entry asks for. All methods may be called from any thread.
  */
-final class OutboundStream {
+public final class OutboundStream {
     private final long mIdentifier;
     private final int mBufferBytes;
     private final Deque<Chunk> mUnacknowledged = new ArrayDeque<>();
     private final CRC32C mChecksum = new CRC32C();
-    private Optional<WireConnection> mConnection;
+    private Optional<FrameSender> mSender;
     private long mCorrelation;
     private Optional<ResponseHead> mHead = Optional.empty();
     private Optional<Frame> mLast = Optional.empty();
     private long mNextSequence;
     private int mUnacknowledgedBytes;
 
-    private OutboundStream(
-            long identifier, int bufferBytes, WireConnection connection, long correlation) {
+    private OutboundStream(long identifier, int bufferBytes, FrameSender sender, long correlation) {
         mIdentifier = identifier;
         mBufferBytes = bufferBytes;
-        mConnection = Optional.of(connection);
+        mSender = Optional.of(sender);
         mCorrelation = correlation;
     }
 
@@ -42,26 +40,37 @@
      *
      * @param identifier unique in this boot of the agent
      * @param bufferBytes how much may be unacknowledged before the source must pause
-     * @param connection where the request came from
+     * @param sender leads to where the request came from
      * @param correlation of the request
      */
-    static OutboundStream attachedTo(
-            long identifier, int bufferBytes, WireConnection connection, long correlation) {
-        return new OutboundStream(identifier, bufferBytes, connection, correlation);
+    public static OutboundStream attachedTo(
+            long identifier, int bufferBytes, FrameSender sender, long correlation) {
+        return new OutboundStream(identifier, bufferBytes, sender, correlation);
     }
 
-    long identifier() {
+    /** Returns the number of the stream, unique in this run of the process. */
+    public long identifier() {
         return mIdentifier;
     }
 
-    synchronized void head(ResponseHead.Builder head) {
+    /**
+     * Begins the answer.
+     *
+     * @param head status and headers; the number of the stream is set here
+     */
+    public synchronized void head(ResponseHead.Builder head) {
         ResponseHead complete = head.setStream(mIdentifier).build();
         mHead = Optional.of(complete);
         send(Frame.newBuilder().setResponseHead(complete));
     }
 
-    /** Sends a chunk and returns whether the source may go on. */
-    synchronized boolean data(byte[] bytes) {
+    /**
+     * Sends a chunk.
+     *
+     * @param bytes a part of the body
+     * @return whether the source may go on
+     */
+    public synchronized boolean data(byte[] bytes) {
         mChecksum.update(bytes);
         Chunk chunk =
                 Chunk.newBuilder()
@@ -74,18 +83,32 @@
         return mayContinue();
     }
 
-    synchronized void end(End.Builder end) {
+    /**
+     * Ends an answer that is whole.
+     *
+     * @param end what else is told; count and checksum are set here
+     */
+    public synchronized void end(End.Builder end) {
         end.setChunkCount(mNextSequence).setChecksum((int) mChecksum.getValue());
         finish(Frame.newBuilder().setEnd(end));
     }
 
-    /** Ends the stream with a failure; the chunks sent so far are no whole answer. */
-    synchronized void fail(Frame.Builder failure) {
+    /**
+     * Ends the stream with a failure; the chunks sent so far are no whole answer.
+     *
+     * @param failure why
+     */
+    public synchronized void fail(Frame.Builder failure) {
         finish(failure);
     }
 
-    /** Forgets chunks that arrived and returns whether the source may go on. */
-    synchronized boolean acknowledge(long nextSequence) {
+    /**
+     * Forgets chunks that arrived.
+     *
+     * @param nextSequence the first chunk that did not arrive
+     * @return whether the source may go on
+     */
+    public synchronized boolean acknowledge(long nextSequence) {
         while (!mUnacknowledged.isEmpty()
                 && mUnacknowledged.peekFirst().getSequence() < nextSequence) {
             mUnacknowledgedBytes -= mUnacknowledged.removeFirst().getData().size();
@@ -93,10 +116,16 @@
         return mayContinue();
     }
 
-    /** Goes on over another connection from a chunk that is still kept. */
-    synchronized void resume(WireConnection connection, long correlation, long nextSequence) {
+    /**
+     * Goes on over another connection.
+     *
+     * @param sender leads to where the answer goes from now on
+     * @param correlation of the request to resume
+     * @param nextSequence the first chunk that did not arrive
+     */
+    public synchronized void resume(FrameSender sender, long correlation, long nextSequence) {
         acknowledge(nextSequence);
-        mConnection = Optional.of(connection);
+        mSender = Optional.of(sender);
         mCorrelation = correlation;
         mHead.ifPresent(head -> send(Frame.newBuilder().setResponseHead(head)));
         for (Chunk chunk : mUnacknowledged) {
@@ -105,32 +134,35 @@
         mLast.ifPresent(last -> send(last.toBuilder()));
     }
 
-    /** Notes that a connection is gone; returns whether this stream was attached to it. */
-    synchronized boolean detach(WireConnection connection) {
-        boolean attached = mConnection.filter(one -> one == connection).isPresent();
+    /**
+     * Notes that a connection is gone.
+     *
+     * @param sender the connection
+     * @return whether this stream was attached to it
+     */
+    public synchronized boolean detach(FrameSender sender) {
+        boolean attached = mSender.filter(one -> one == sender).isPresent();
         if (attached) {
-            mConnection = Optional.empty();
+            mSender = Optional.empty();
         }
         return attached;
     }
 
-    synchronized boolean isDetached() {
-        return mConnection.isEmpty();
+    /** Returns whether the stream has no connection. */
+    public synchronized boolean isDetached() {
+        return mSender.isEmpty();
     }
 
-    synchronized boolean isEnded() {
+    /** Returns whether the last frame of the answer was sent. */
+    public synchronized boolean isEnded() {
         return mLast.isPresent();
     }
 
     /** Returns whether the end was sent and everything before it was acknowledged. */
-    synchronized boolean isDelivered() {
+    public synchronized boolean isDelivered() {
         return mLast.isPresent() && mUnacknowledged.isEmpty();
     }
 
-    synchronized boolean hasStarted() {
-        return mHead.isPresent();
-    }
-
     private void finish(Frame.Builder last) {
         if (mLast.isEmpty()) {
             mLast = Optional.of(last.build());
@@ -143,6 +175,6 @@
     }
 
     private void send(Frame.Builder frame) {
-        mConnection.ifPresent(connection -> connection.send(mCorrelation, frame));
+        mSender.ifPresent(sender -> sender.send(mCorrelation, frame));
     }
 }
--- a/entry/src/main/java/org/ibisstand/entry/StreamReader.java
+++ b/wire/src/main/java/org/ibisstand/wire/StreamReader.java
@@ -1,4 +1,4 @@
-package org.ibisstand.entry;
+package org.ibisstand.wire;
 
 import java.util.Optional;
 import java.util.zip.CRC32C;
@@ -10,13 +10,25 @@
  *
  * <p>A chunk that came before, as after a resume, is passed over.
  */
-final class StreamReader {
+public final class StreamReader {
     private final CRC32C mChecksum = new CRC32C();
     private long mNextSequence;
     private boolean mBroken;
 
-    /** Returns the bytes of a chunk that is the next one; empty for a repeated one. */
-    Optional<byte[]> accept(Chunk chunk) {
+    private StreamReader() {}
+
+    /** Returns a reader that awaits the first chunk. */
+    public static StreamReader create() {
+        return new StreamReader();
+    }
+
+    /**
+     * Takes a chunk in.
+     *
+     * @param chunk as received
+     * @return its bytes if it is the next one; empty if it is repeated or one before it is missing
+     */
+    public Optional<byte[]> accept(Chunk chunk) {
         if (chunk.getSequence() > mNextSequence) {
             mBroken = true;
         }
@@ -29,20 +41,24 @@
         return Optional.of(bytes);
     }
 
-    /** Returns whether the answer is complete at its end. */
-    boolean isWhole(End end) {
+    /**
+     * Returns whether the answer is complete.
+     *
+     * @param end the last frame
+     */
+    public boolean isWhole(End end) {
         return !mBroken
                 && end.getChunkCount() == mNextSequence
                 && end.getChecksum() == (int) mChecksum.getValue();
     }
 
     /** Returns whether a chunk was missing. */
-    boolean isBroken() {
+    public boolean isBroken() {
         return mBroken;
     }
 
     /** Returns the sequence of the chunk that is awaited. */
-    long nextSequence() {
+    public long nextSequence() {
         return mNextSequence;
     }
 }
--- a/wire/src/main/java/org/ibisstand/wire/WireConnection.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireConnection.java
@@ -24,7 +24,7 @@
  * <p>The side that connected numbers its requests oddly and the other evenly, so that an answer is
  * never taken for a request. An answer to a request that is closed already is dropped.
  */
-public final class WireConnection {
+public final class WireConnection implements FrameSender {
     /** The version of the frames that this library writes and accepts. */
     public static final int PROTOCOL_VERSION = 1;
 
@@ -121,12 +121,7 @@
         runOnEventLoop(() -> mWaiting.remove(correlation));
     }
 
-    /**
-     * Sends an answer or a follow-up.
-     *
-     * @param correlation of the request that it belongs to
-     * @param frame the message
-     */
+    @Override
     public void send(long correlation, Frame.Builder frame) {
         write(complete(frame, correlation));
     }
