--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -40,6 +40,7 @@
     private static final long MAXIMUM_OPAQUE_KEYS = 65_536;
     private static final Duration CLOCK_TOLERANCE = Duration.ofMinutes(5);
     private static final long STOP_SECONDS = 5;
+    private static final long LEADERLESS_EPOCH = 1;
 
     private final ControlSettings mSettings;
     private final Clock mClock;
@@ -136,8 +137,18 @@
                 opener.open(
                         state, new LogContext(mSettings, mControlThread, wire, mClock, address));
         Duration lease = Duration.ofMillis(mSettings.timing().greatestLeaseMilliseconds());
-        Registry registry = Registry.create(wire.boot().value(), lease, mClock.instant());
+        Registry registry = Registry.create(lease, mClock.instant());
         Proposals proposals = Proposals.create(log, mClock);
+        AgentConnections connections = AgentConnections.create();
+        WeightRollout rollout =
+                new WeightRollout(
+                        mControlThread,
+                        state,
+                        registry,
+                        proposals,
+                        connections,
+                        mClock,
+                        mSettings.limits().concurrentWeightLoads());
         return new ControlParts(
                 state,
                 log,
@@ -145,7 +156,8 @@
                 ClaimService.create(proposals, claimLimits()),
                 registry,
                 Watchers.create(state, registry),
-                AgentConnections.create(),
+                connections,
+                rollout,
                 Quorum.create(log, mClock));
     }
 
@@ -190,14 +202,32 @@
     private void tick() {
         try {
             mParts.quorum().tick();
+            mParts.registry().serveAs(registryEpoch(mParts.log().status()), mClock.instant());
             mParts.registry().tick(mClock.instant());
             mParts.watchers().confirm(mParts.quorum().confirmed());
             mParts.watchers().flush();
+            rollOut();
         } catch (RuntimeException e) {
             Logger.error(e, "event=tick_failed member={}", mSettings.member());
         }
     }
 
+    /** The leader's list goes first; a member without a leader serves what it knows as the last. */
+    private static long registryEpoch(LogStatus status) {
+        if (status.leads()) {
+            return status.term() + LEADERLESS_EPOCH;
+        }
+        return status.leaderAddress().isPresent() ? 0 : LEADERLESS_EPOCH;
+    }
+
+    private void rollOut() {
+        if (mParts.log().status().leads()) {
+            mParts.rollout().tick();
+        } else {
+            mParts.rollout().stopLeading();
+        }
+    }
+
     private void takeStatus() {
         mStatus = ControlStatus.of(mSettings.member(), mParts);
     }
