Start entry, agent and the replicated control member from the executable

Change: the executable starts all three, stops them through their graceful stop, and opens the replicated log in the data folder.

--- a/command/src/main/java/org/ibisstand/command/DaemonProcess.java
+++ b/command/src/main/java/org/ibisstand/command/DaemonProcess.java
@@ -1,6 +1,7 @@
 package org.ibisstand.command;
 
 import java.util.concurrent.CountDownLatch;
+import org.ibisstand.base.Daemon;
 import org.ibisstand.base.LogLine;
 import sun.misc.Signal;
 
@@ -20,7 +21,7 @@
     /**
      * Runs a daemon and returns when it has stopped.
      *
-     * @param daemon started already; its close method is the graceful stop
+     * @param daemon started already; stopped gracefully if it can be, then closed
      */
     static void run(AutoCloseable daemon) throws Exception {
         DaemonProcess process = new DaemonProcess();
@@ -28,6 +29,9 @@
         Signal.handle(new Signal("INT"), process::receive);
         process.mStop.await();
         LogLine.info("stopping").write();
+        if (daemon instanceof Daemon graceful) {
+            graceful.stop().join();
+        }
         daemon.close();
         LogLine.info("stopped").write();
     }
--- a/command/src/main/java/org/ibisstand/command/Daemons.java
+++ b/command/src/main/java/org/ibisstand/command/Daemons.java
@@ -1,17 +1,20 @@
 package org.ibisstand.command;
 
 import java.nio.file.Path;
+import org.ibisstand.agent.AgentDaemon;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.control.ControlDaemon;
-import org.ibisstand.control.LogMember;
-import org.ibisstand.control.SingleMemberLog;
+import org.ibisstand.control.ReplicatedLog;
+import org.ibisstand.entry.EntryDaemon;
 import org.ibisstand.fakes.FakeEngine;
 import org.ibisstand.fakes.FakeEngineOptions;
 import org.ibisstand.fakes.FakeService;
+import org.ibisstand.settings.AgentSettings;
 import org.ibisstand.settings.ControlSettings;
+import org.ibisstand.settings.EntrySettings;
 import org.ibisstand.settings.SettingsReader;
 
 /** Starts the daemons and the stand-ins. */
@@ -29,21 +32,28 @@
         byte[] json = SettingsReader.readFile(file);
         SettingsReader reader = SettingsReader.create();
         return switch (kind) {
+            case ENTRY -> startEntry(reader.readEntry(json));
+            case AGENT -> startAgent(reader.readAgent(json));
             case CONTROL -> startControl(reader.readControl(json));
-            default ->
+            case CONFIGURATION ->
                     throw new IbisstandException(
-                            ErrorCode.USAGE, kind.label() + " is not part of this build");
+                            ErrorCode.USAGE, "a configuration is applied, not started");
         };
     }
 
+    private static AutoCloseable startEntry(EntrySettings settings) {
+        LogConfiguration.nameProcess(settings.process());
+        return EntryDaemon.start(settings);
+    }
+
+    private static AutoCloseable startAgent(AgentSettings settings) {
+        LogConfiguration.nameProcess(settings.agent());
+        return AgentDaemon.start(settings);
+    }
+
     private static AutoCloseable startControl(ControlSettings settings) {
         LogConfiguration.nameProcess(settings.member());
-        return ControlDaemon.start(
-                settings,
-                (machine, context) ->
-                        SingleMemberLog.create(
-                                machine,
-                                new LogMember(settings.member(), context.address(), true)));
+        return ControlDaemon.start(settings, ReplicatedLog::open);
     }
 
     /** Starts a stand-in for a model engine. */
