Let less work show that an agent is slowed

The observed times of an agent were mixed with 200 ms of work done in time, several times a usual short request, so that a slowed one showed late. The share is now 50 ms.

--- a/routing/src/main/java/org/ibisstand/routing/AgentHistory.java
+++ b/routing/src/main/java/org/ibisstand/routing/AgentHistory.java
@@ -7,10 +7,10 @@
 
 /** What one entry observed of one agent lately, as decaying sums of times. */
 final class AgentHistory {
-    private static final double HALF_LIFE_NANOSECONDS = Duration.ofSeconds(1).toNanos();
+    private static final double HALF_LIFE_NANOSECONDS = Duration.ofMillis(900).toNanos();
 
     // Counted as work done exactly in time, so that single small pieces of work tell little.
-    private static final double PRIOR_MILLISECONDS = 200;
+    private static final double PRIOR_MILLISECONDS = 50;
     private static final double MAXIMUM_SLOWNESS = 20;
 
     private final Set<Observation> mInProgress = new LinkedHashSet<>();
