Send calls to slowed agents only where the others are slowed too

Two choices weighed load by slowness alone; with less than one call in progress an agent at a fifth of its speed still won every second comparison. The third power leaves it out without a hard ejection: no list, no bound to keep, and a fleet that is slowed as a whole serves on.

--- a/routing/src/main/java/org/ibisstand/routing/Placement.java
+++ b/routing/src/main/java/org/ibisstand/routing/Placement.java
@@ -11,6 +11,9 @@
 
 /** Chooses an agent for each request by one policy; may be used by any thread. */
 public final class Placement {
+    // A slowed agent is all but left out, yet never refused where every other is slowed too.
+    private static final double SLOWNESS_EXPONENT = 3;
+
     private final PlacementPolicy mPolicy;
     private final AgentLoads mLoads;
     private final RecentPlacements mRecent;
@@ -154,7 +157,7 @@
 
     private double load(AgentView view, Instant now) {
         double requests = 1 + mLoads.estimate(view.agent(), now);
-        return requests * slowness(view.agent(), now);
+        return requests * Math.pow(slowness(view.agent(), now), SLOWNESS_EXPONENT);
     }
 
     private Optional<AgentView> firstAllowed(PlacementRequest request, long hash) {
--- a/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.BootIdentifier;
@@ -31,11 +34,15 @@
     }
 
     private static Placement placement(PlacementPolicy policy) {
+        return placement(policy, ServerObservations.create());
+    }
+
+    private static Placement placement(PlacementPolicy policy, ServerObservations observations) {
         return Placement.create(
                 policy,
                 AgentLoads.create(),
                 RecentPlacements.ofBits(10),
-                ServerObservations.create(),
+                observations,
                 new Random(1));
     }
 
@@ -79,6 +86,31 @@
         assertThat(more).containsNoneIn(first.agents());
     }
 
+    @Test
+    void sendsCallsToASlowedAgentOnlyWhereTheOtherChoiceIsSlowedToo() {
+        ServerObservations observations = ServerObservations.create();
+        AgentGroup group = TestAgents.group(3);
+        Placement placement = placement(new PlacementPolicy.TwoChoices(), observations);
+        slowDown(observations, group.agent(0));
+        assertThat(callsTo(placement, group).get(group.agent(0))).isNull();
+        slowDown(observations, group.agent(1));
+        slowDown(observations, group.agent(2));
+        assertThat(callsTo(placement, group)).hasSize(3);
+    }
+
+    private static void slowDown(ServerObservations observations, AgentView view) {
+        Observation work = observations.started(view.agent(), Duration.ofMillis(100), NOW);
+        observations.ended(work, NOW.plusMillis(500));
+    }
+
+    private static Map<AgentView, Long> callsTo(Placement placement, AgentGroup group) {
+        PlacementRequest call = new PlacementRequest(group, Optional.empty(), Set.of());
+        return Stream.generate(() -> placement.begin(call, NOW.plusMillis(500)).step())
+                .limit(200)
+                .map(step -> ((PlacementStep.Send) step).choice().agent())
+                .collect(Collectors.groupingBy(view -> view, Collectors.counting()));
+    }
+
     @Test
     void givesEveryQuestionItsOwnPatience() {
         Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
