Hedge calls to plain services after a multiple of the median

With one service of three slowed, more than one call in twenty is slow, so the 95th percentile of observed times followed the slowed ones and hedges came too late. Half as long again as the median does not move until half of the calls are slow.

--- a/routing/src/main/java/org/ibisstand/routing/Hedging.java
+++ b/routing/src/main/java/org/ibisstand/routing/Hedging.java
@@ -8,12 +8,15 @@
 /**
  * Decides when a request that is late gets a second attempt at another agent.
  *
- * <p>Only idempotent and short requests are hedged, after a late percentile of the times observed
- * lately, and inside a budget that is a share of the requests. The caller takes the first answer
- * and cancels the other attempt, which counts as waste. May be used by any thread.
+ * <p>Only idempotent and short requests are hedged, after a multiple of the median of the times
+ * observed lately, and inside a budget that is a share of the requests. The median stays what it is
+ * while up to half of the agents are slowed, where a late percentile would follow the slowed ones.
+ * The caller takes the first answer and cancels the other attempt, which counts as waste. May be
+ * used by any thread.
  */
 public final class Hedging {
-    private static final double LATE_SHARE = 0.95;
+    private static final double MEDIAN = 0.5;
+    private static final double LATE_FACTOR = 1.5;
     private static final double MAXIMUM_SAVED = 10;
     private static final int MINIMUM_COUNT = 50;
     private static final Duration WINDOW = Duration.ofSeconds(10);
@@ -59,7 +62,13 @@
      * @param now the present
      */
     public Optional<Duration> delay(boolean idempotent, boolean isShort, Instant now) {
-        return idempotent && isShort ? mTimes.quantile(LATE_SHARE, now) : Optional.empty();
+        return idempotent && isShort
+                ? mTimes.quantile(MEDIAN, now).map(Hedging::late)
+                : Optional.empty();
+    }
+
+    private static Duration late(Duration median) {
+        return Duration.ofNanos((long) (median.toNanos() * LATE_FACTOR));
     }
 
     /**
