--- a/agent/src/main/java/org/ibisstand/agent/AgentRuntime.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentRuntime.java
@@ -4,8 +4,7 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.security.SecureRandom;
 import java.time.Clock;
@@ -39,11 +38,7 @@
 
     static AgentRuntime start(AgentSettings settings) {
         BootIdentifier boot = BootIdentifier.create();
-        EventLoopGroup traffic =
-                new MultiThreadIoEventLoopGroup(
-                        TRAFFIC_THREADS,
-                        new DefaultThreadFactory("traffic"),
-                        NioIoHandler.newFactory());
+        EventLoopGroup traffic = trafficThreads();
         return new AgentRuntime(
                 settings,
                 boot,
@@ -60,6 +55,12 @@
                         new SecureRandom()));
     }
 
+    // AsyncHttpClient recognises only this older kind of event loop group.
+    @SuppressWarnings("deprecation")
+    private static EventLoopGroup trafficThreads() {
+        return new NioEventLoopGroup(TRAFFIC_THREADS, new DefaultThreadFactory("traffic"));
+    }
+
     void close() {
         controlThread.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS);
