Send heartbeats only while requests are open

Cause: with 600 agents an entry would have paid two heartbeats a second for each idle connection, about 90 KB/s by count of frames, six times what a daemon may spend for control. Ruled out: longer intervals (a silent connection would be found later); connecting on demand (a handshake before the first offer). Change: a tick per connection counts silence only while this side or its peer waits; an idle connection carries nothing.

--- a/administration/src/main/java/org/ibisstand/administration/BoundedAggregator.java
+++ b/administration/src/main/java/org/ibisstand/administration/BoundedAggregator.java
@@ -1,8 +1,11 @@
 package org.ibisstand.administration;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +28,7 @@
      * @param maximumBodyBytes the largest body that is accepted
      */
     public BoundedAggregator(int maximumBodyBytes) {
-        super(maximumBodyBytes);
+        super(maximumBodyBytes, true);
     }
 
     @Override
@@ -41,13 +44,26 @@
         }
     }
 
+    @Override
+    protected Object newContinueResponse(
+            HttpMessage start, int maximumBodyBytes, ChannelPipeline pipeline) {
+        Object response = super.newContinueResponse(start, maximumBodyBytes, pipeline);
+        boolean tooLarge =
+                response instanceof FullHttpResponse full
+                        && full.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        return tooLarge ? refusal() : response;
+    }
+
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
         mRefused = true;
-        String message = "the body is larger than " + maxContentLength() + " bytes";
-        context.writeAndFlush(
-                HttpResponses.of(AdministrationResponse.error(ErrorCode.BODY_TOO_LARGE, message)));
+        context.writeAndFlush(refusal());
         context.executor()
                 .schedule(() -> context.close(), LONGEST_REST_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
+
+    private FullHttpResponse refusal() {
+        String message = "the body is larger than " + maxContentLength() + " bytes";
+        return HttpResponses.of(AdministrationResponse.error(ErrorCode.BODY_TOO_LARGE, message));
+    }
 }
--- a/administration/src/test/java/org/ibisstand/administration/AdministrationServerTest.java
+++ b/administration/src/test/java/org/ibisstand/administration/AdministrationServerTest.java
@@ -115,6 +115,20 @@
         assertThat(response.body()).contains("BODY_TOO_LARGE");
     }
 
+    @Test
+    void refusesWithACodeASenderThatAsksBeforeItSendsTooLargeABody() throws Exception {
+        try (Socket socket = new Socket(HOST, mServer.port())) {
+            String head =
+                    "PUT /echo HTTP/1.1\r\nExpect: 100-continue\r\n"
+                            + "Content-Length: 99999999\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(answer).startsWith("HTTP/1.1 413");
+            assertThat(answer).contains("BODY_TOO_LARGE");
+        }
+    }
+
     @Test
     void readsTheRestOfABodyThatIsTooLargeBeforeItCloses() throws Exception {
         byte[] part = new byte[1024 * 1024];
--- a/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
@@ -3,20 +3,32 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.timeout.IdleStateEvent;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.Heartbeat;
 import org.tinylog.Logger;
 
-/** Joins one channel to its connection: greeting, heartbeats, answers and requests. */
+/**
+ * Joins one channel to its connection: greeting, heartbeats, answers and requests.
+ *
+ * <p>Heartbeats are sent while requests are open only, since a fleet of idle connections would
+ * otherwise cost more than its work. A side that waits, or whose peer waits, closes the connection
+ * once nothing has arrived for the silence limit.
+ */
 final class ConnectionHandler extends SimpleChannelInboundHandler<Frame> {
     private final WireContext mContext;
     private final FrameHandler mHandler;
     private final boolean mInitiator;
     private WireConnection mConnection;
     private boolean mGreeted;
+    private boolean mReceivedSinceTick;
+    private boolean mPeerWaiting;
+    private boolean mToldWaiting;
+    private long mSilentMilliseconds;
+    private Future<?> mTicks;
 
     ConnectionHandler(WireContext context, FrameHandler handler, boolean initiator) {
         mContext = context;
@@ -28,6 +40,11 @@
     public void channelActive(ChannelHandlerContext channel) {
         mConnection = new WireConnection(channel.channel(), mInitiator);
         mConnection.send(0, Frame.newBuilder().setHello(mContext.hello()));
+        long interval = mContext.settings().heartbeatInterval().toMillis();
+        mTicks =
+                channel.executor()
+                        .scheduleAtFixedRate(
+                                () -> tick(channel), interval, interval, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -36,6 +53,7 @@
             refuse(channel, "protocol version " + frame.getProtocolVersion() + " is unknown");
             return;
         }
+        mReceivedSinceTick = true;
         switch (frame.getBodyCase()) {
             case HELLO -> greet(frame);
             case HEARTBEAT -> answerHeartbeat(frame.getHeartbeat());
@@ -44,18 +62,12 @@
         }
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext channel, Object event) {
-        if (event instanceof IdleStateEvent idle) {
-            handleIdle(channel, idle);
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext channel) {
         if (mConnection == null) {
             return;
         }
+        mTicks.cancel(false);
         mConnection.failWaiting();
         if (mGreeted) {
             mHandler.closed(mConnection);
@@ -82,10 +94,29 @@
 
     private void answerHeartbeat(Heartbeat heartbeat) {
         if (!heartbeat.getReply()) {
+            mPeerWaiting = heartbeat.getWaiting();
             sendHeartbeat(true);
         }
     }
 
+    private void tick(ChannelHandlerContext channel) {
+        boolean waiting = mConnection.isWaiting();
+        boolean silent = !mReceivedSinceTick && (waiting || mPeerWaiting);
+        mReceivedSinceTick = false;
+        mSilentMilliseconds =
+                silent
+                        ? mSilentMilliseconds + mContext.settings().heartbeatInterval().toMillis()
+                        : 0;
+        if (mSilentMilliseconds >= mContext.settings().silenceLimit().toMillis()) {
+            Logger.warn("event=connection_silent peer={}", channel.channel().remoteAddress());
+            channel.close();
+        } else if (waiting || mToldWaiting) {
+            // The last heartbeat tells the peer that nothing is waited for any more.
+            mToldWaiting = waiting;
+            sendHeartbeat(false);
+        }
+    }
+
     private void deliver(ChannelHandlerContext channel, Frame frame) {
         if (!mGreeted) {
             refuse(channel, "the first message must be a hello");
@@ -109,18 +140,9 @@
         }
     }
 
-    private void handleIdle(ChannelHandlerContext channel, IdleStateEvent idle) {
-        switch (idle.state()) {
-            case READER_IDLE -> {
-                Logger.warn("event=connection_silent peer={}", channel.channel().remoteAddress());
-                channel.close();
-            }
-            default -> sendHeartbeat(false);
-        }
-    }
-
     private void sendHeartbeat(boolean reply) {
-        Heartbeat heartbeat = Heartbeat.newBuilder().setReply(reply).build();
+        Heartbeat heartbeat =
+                Heartbeat.newBuilder().setReply(reply).setWaiting(mToldWaiting).build();
         mConnection.send(0, Frame.newBuilder().setHeartbeat(heartbeat));
     }
 
--- a/wire/src/main/java/org/ibisstand/wire/ConnectionInitializer.java
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionInitializer.java
@@ -7,8 +7,6 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.timeout.IdleStateHandler;
-import java.util.concurrent.TimeUnit;
 import org.ibisstand.wire.message.Frame;
 
 /** Sets up the codecs and timers of a new connection. */
@@ -29,12 +27,6 @@
     protected void initChannel(Channel channel) {
         WireSettings settings = mContext.settings();
         ChannelPipeline pipeline = channel.pipeline();
-        pipeline.addLast(
-                new IdleStateHandler(
-                        settings.silenceLimit().toMillis(),
-                        settings.heartbeatInterval().toMillis(),
-                        0,
-                        TimeUnit.MILLISECONDS));
         pipeline.addLast(
                 new LengthFieldBasedFrameDecoder(
                         settings.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
--- a/wire/src/main/java/org/ibisstand/wire/WireConnection.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireConnection.java
@@ -135,6 +135,11 @@
         mPeer = hello;
     }
 
+    /** Returns whether this side waits for answers; for the event loop only. */
+    boolean isWaiting() {
+        return !mWaiting.isEmpty();
+    }
+
     /** Returns whether the frame answered a request of this side, late or not. */
     boolean deliverAnswer(Frame frame) {
         if (!isOwnCorrelation(frame.getCorrelation())) {
