Let a restarted entry serve while all of control is unreachable

Cause: an entry that restarted beside a lost control group had neither configuration nor agents. Ruled out: asking agents (an entry without a registry knows none); refusing until control is back (idempotent serving must go on).

--- a/entry/src/main/java/org/ibisstand/entry/ControlWatch.java
+++ b/entry/src/main/java/org/ibisstand/entry/ControlWatch.java
@@ -1,15 +1,18 @@
 package org.ibisstand.entry;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Fleet;
 import org.ibisstand.routing.ServedModel;
@@ -30,24 +33,44 @@
  * #opened}.
  */
 final class ControlWatch {
+    private static final long COPY_PAUSE_MILLISECONDS = 500;
+
     private final String mProcess;
     private final ScheduledExecutorService mControlThread;
     private final AtomicReference<EntryState> mState;
     private final AgentConnections mAgents;
+    private final Optional<LocalCopy> mCopy;
     private final ConfigurationReader mReader = ConfigurationReader.create();
     private final Map<AgentIdentifier, AgentRecord> mRecords = new HashMap<>();
     private long mRegistryEpoch;
     private long mRegistrySequence;
+    private ByteString mConfiguration = ByteString.EMPTY;
+    private boolean mCopyDue;
 
     ControlWatch(
             String process,
             ScheduledExecutorService controlThread,
             AtomicReference<EntryState> state,
-            AgentConnections agents) {
+            AgentConnections agents,
+            Optional<LocalCopy> copy) {
         mProcess = process;
         mControlThread = controlThread;
         mState = state;
         mAgents = agents;
+        mCopy = copy;
+    }
+
+    /** Serves by the local copy until control answers; called before any connection opens. */
+    void restore() {
+        mCopy.flatMap(LocalCopy::read).ifPresent(this::restore);
+    }
+
+    private void restore(Update copy) {
+        applyConfiguration(copy);
+        if (copy.getRegistryWhole()) {
+            replaceRecords(copy);
+        }
+        LogLine.info("restored").with("revision", copy.getRevision()).write();
     }
 
     /** Starts to watch over a connection that has opened; may be called from any thread. */
@@ -85,6 +108,8 @@
     private void apply(Update update) {
         try {
             var configuration = mReader.read(update.getConfiguration().toByteArray());
+            mConfiguration = update.getConfiguration();
+            keepCopy();
             mState.set(
                     mState.get()
                             .withConfiguration(
@@ -113,6 +138,11 @@
         }
         mRegistryEpoch = update.getRegistryEpoch();
         mRegistrySequence = update.getRegistrySequence();
+        replaceRecords(update);
+        keepCopy();
+    }
+
+    private void replaceRecords(Update update) {
         if (update.getRegistryWhole()) {
             mRecords.clear();
         }
@@ -123,6 +153,27 @@
         publish();
     }
 
+    private void keepCopy() {
+        if (mCopy.isPresent() && !mCopyDue) {
+            mCopyDue = true;
+            // Changes come in bursts, as when a zone returns; one write covers them.
+            mControlThread.schedule(
+                    this::writeCopy, COPY_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void writeCopy() {
+        mCopyDue = false;
+        Update copy =
+                Update.newBuilder()
+                        .setRevision(mState.get().revision())
+                        .setConfiguration(mConfiguration)
+                        .setRegistryWhole(true)
+                        .addAllAgents(mRecords.values())
+                        .build();
+        mCopy.ifPresent(one -> one.write(copy));
+    }
+
     private void publish() {
         List<AgentView> views = new ArrayList<>();
         Map<AgentIdentifier, String> addresses = new HashMap<>();
--- a/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.List;
@@ -108,7 +109,10 @@
                         boot,
                         new SecureRandom());
         AgentConnections agents = new AgentConnections(wire);
-        ControlWatch watch = new ControlWatch(settings.process(), controlThread, state, agents);
+        ControlWatch watch =
+                new ControlWatch(
+                        settings.process(), controlThread, state, agents, localCopy(settings));
+        watch.restore();
         ControlClient control = connectControl(wire, clock, settings, watch);
         FlowContext flows = flows(clock, state, agents, control, metrics);
         CallerContext callers =
@@ -202,6 +206,10 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private static Optional<LocalCopy> localCopy(EntrySettings settings) {
+        return settings.stateFolder().map(Path::of).map(LocalCopy::in);
+    }
+
     private static ControlClient connectControl(
             WireContext wire, Clock clock, EntrySettings settings, ControlWatch watch) {
         List<InetSocketAddress> members =
--- a/settings/src/main/java/org/ibisstand/settings/EntrySettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/EntrySettings.java
@@ -1,6 +1,7 @@
 package org.ibisstand.settings;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The settings of one entry process.
@@ -10,6 +11,8 @@
  * @param caller where callers connect
  * @param administration where operators connect
  * @param controlAddresses the wire addresses of the control members; any of them will do
+ * @param stateFolder where a copy of configuration and agents is kept for a restart beside an
+ *     unreachable control group, if anywhere
  * @param limits what callers may send
  * @param timing how long the entry waits
  */
@@ -19,6 +22,7 @@
         Listen caller,
         Administration administration,
         @Range(from = 1, to = 16) List<Address> controlAddresses,
+        @Form(TextForm.FOLDER) Optional<String> stateFolder,
         Limits limits,
         Timing timing) {
     /** Copies the list, so that settings never change. */
