--- a/measure/src/main/java/org/ibisstand/measure/Contender.java
+++ b/measure/src/main/java/org/ibisstand/measure/Contender.java
@@ -1,5 +1,6 @@
 package org.ibisstand.measure;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.ibisstand.routing.PlacementPolicy;
@@ -7,12 +8,37 @@
 
 /** A way to route that is measured against the others on the same load. */
 sealed interface Contender {
+    /** How long the product's entries ask for a place to be held. */
+    Duration HOLD = Duration.ofMillis(10);
+
     /** Returns the name in reports. */
     String name();
 
-    /** The product: placement by the policy, and the agents' own queue. */
-    record Product(String name, PlacementPolicy placement, QueuePolicy engine, QueuePolicy service)
-            implements Contender {}
+    /**
+     * The product, or the product without one of its mechanisms.
+     *
+     * @param placement how entries choose agents
+     * @param engine the queue of an engine's agent
+     * @param service the queue of a plain service's agent
+     * @param hedges whether late short work gets a second attempt
+     * @param hold how long an offer holds its place
+     */
+    record Product(
+            String name,
+            PlacementPolicy placement,
+            QueuePolicy engine,
+            QueuePolicy service,
+            boolean hedges,
+            Duration hold)
+            implements Contender {
+        private Product with(String newName, PlacementPolicy other) {
+            return new Product(newName, other, engine, service, hedges, hold);
+        }
+
+        private Product with(String newName, QueuePolicy other) {
+            return new Product(newName, placement, other, service, hedges, hold);
+        }
+    }
 
     /** A placement that sends everything to the engines at once, in the order of arrival. */
     record Naive(String name, PlacementPolicy placement) implements Contender {}
@@ -30,7 +56,9 @@
                 "ibisstand",
                 PlacementPolicy.standard(),
                 QueuePolicy.SharedByClass.forEngine(EngineModel.SEQUENCES),
-                QueuePolicy.SharedByClass.forService(ServiceModel.WORKERS));
+                QueuePolicy.SharedByClass.forService(ServiceModel.WORKERS),
+                true,
+                HOLD);
     }
 
     /** Returns what an operator would otherwise run. */
@@ -58,4 +86,36 @@
         all.addAll(clairvoyant());
         return all;
     }
+
+    /** Returns the product and the product without each of its mechanisms. */
+    static List<Contender> ablations() {
+        Product whole = product();
+        QueuePolicy.SharedByClass queue =
+                QueuePolicy.SharedByClass.forEngine(EngineModel.SEQUENCES);
+        return List.of(
+                whole,
+                whole.with(
+                        "without agent queue",
+                        new QueuePolicy.FirstComeFirstServed(Integer.MAX_VALUE)),
+                whole.with("without early refusal", queue.withRefusal(false)),
+                whole.with("without short before long", queue.withLongFrom(Double.MAX_VALUE)),
+                whole.with("without ageing", queue.withAgeing(Duration.ofDays(1))),
+                whole.with("without prefill bound", queue.withPrefillBound(Double.MAX_VALUE)),
+                new Product(
+                        "without hedging",
+                        whole.placement(),
+                        queue,
+                        whole.service(),
+                        false,
+                        whole.hold()),
+                new Product(
+                        "without holds",
+                        whole.placement(),
+                        queue,
+                        whole.service(),
+                        true,
+                        Duration.ZERO),
+                whole.with("lighter of two ranks", new PlacementPolicy.LighterOfTwoRanks()),
+                whole.with("least outstanding, queue", new PlacementPolicy.LeastOutstanding()));
+    }
 }
--- a/measure/src/main/java/org/ibisstand/measure/RoutedRequest.java
+++ b/measure/src/main/java/org/ibisstand/measure/RoutedRequest.java
@@ -21,7 +21,6 @@
 
 /** All attempts of one request at one entry: placement, retries after refusals, and a hedge. */
 final class RoutedRequest {
-    private static final Duration HOLD = Duration.ofMillis(10);
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private final EntryModel mEntry;
@@ -97,7 +96,7 @@
     }
 
     private void answer(AgentModel agent, PlacementRound round) {
-        Offer offer = agent.offer(mQuestion, HOLD);
+        Offer offer = agent.offer(mQuestion, mEntry.hold());
         AgentView view = agent.view();
         mSimulation.after(
                 mEntry.latency(view),
--- a/measure/src/main/java/org/ibisstand/measure/Run.java
+++ b/measure/src/main/java/org/ibisstand/measure/Run.java
@@ -1,5 +1,6 @@
 package org.ibisstand.measure;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -63,7 +64,8 @@
                 computed() - mComputedWhileWarming,
                 recomputed() - mRecomputedWhileWarming,
                 mCounters.offers(),
-                mCounters.attempts());
+                mCounters.attempts(),
+                1);
     }
 
     private void createRouters() {
@@ -72,12 +74,13 @@
                     mRouters.add(
                             new ClairvoyantRouter(
                                     mSimulation, mCluster, clairvoyant.recomputeWeight()));
-            case Contender.Product product -> createEntries(product.placement(), true);
-            case Contender.Naive naive -> createEntries(naive.placement(), false);
+            case Contender.Product product ->
+                    createEntries(product.placement(), product.hedges(), product.hold());
+            case Contender.Naive naive -> createEntries(naive.placement(), false, Duration.ZERO);
         }
     }
 
-    private void createEntries(PlacementPolicy policy, boolean hedges) {
+    private void createEntries(PlacementPolicy policy, boolean hedges, Duration hold) {
         for (int entry = 0; entry < ENTRIES; entry++) {
             mEntries.add(
                     new EntryModel(
@@ -85,6 +88,7 @@
                             mCluster,
                             policy,
                             hedges,
+                            hold,
                             Cluster.zone(entry),
                             mWorkload.crossZoneMilliseconds(),
                             mRandom.split(),
--- a/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
@@ -59,6 +59,74 @@
                     true,
                     0.3);
         }
+
+        /**
+         * Returns the same policy with or without early refusals.
+         *
+         * @param refuses whether work is refused as soon as it is predicted to be late
+         */
+        public SharedByClass withRefusal(boolean refuses) {
+            return new SharedByClass(
+                    concurrency,
+                    prefillMilliseconds,
+                    longMilliseconds,
+                    longShare,
+                    ageing,
+                    maximumQueued,
+                    refuses,
+                    holdWeight);
+        }
+
+        /**
+         * Returns the same policy with another bound between short and long work.
+         *
+         * @param milliseconds prefill from which work counts as long
+         */
+        public SharedByClass withLongFrom(double milliseconds) {
+            return new SharedByClass(
+                    concurrency,
+                    prefillMilliseconds,
+                    milliseconds,
+                    longShare,
+                    ageing,
+                    maximumQueued,
+                    refuseEarly,
+                    holdWeight);
+        }
+
+        /**
+         * Returns the same policy with another time after which waiting work moves up.
+         *
+         * @param wait the wait after which work moves up by one class
+         */
+        public SharedByClass withAgeing(Duration wait) {
+            return new SharedByClass(
+                    concurrency,
+                    prefillMilliseconds,
+                    longMilliseconds,
+                    longShare,
+                    wait,
+                    maximumQueued,
+                    refuseEarly,
+                    holdWeight);
+        }
+
+        /**
+         * Returns the same policy with another bound on the prefill inside the engine.
+         *
+         * @param milliseconds the most prefill that has no first token yet
+         */
+        public SharedByClass withPrefillBound(double milliseconds) {
+            return new SharedByClass(
+                    concurrency,
+                    milliseconds,
+                    longMilliseconds,
+                    longShare,
+                    ageing,
+                    maximumQueued,
+                    refuseEarly,
+                    holdWeight);
+        }
     }
 
     /** Returns the most work that may be at the backend server at once. */
