--- /dev/null
+++ b/faults/src/main/java/org/ibisstand/faults/Step.java
@@ -0,0 +1,43 @@
+package org.ibisstand.faults;
+
+/** Where on its way something is struck by a fault. */
+public enum Step {
+    BEFORE_CLAIM,
+    AFTER_CLAIM,
+    WHILE_WRITTEN,
+    AFTER_RUN,
+    AFTER_ANSWER,
+    AFTER_RECORD,
+
+    BEFORE_QUEUE,
+    WHILE_QUEUED,
+    AT_DISPATCH,
+
+    BEFORE_FIRST_CHUNK,
+    BETWEEN_CHUNKS,
+    BEFORE_END,
+    AFTER_END,
+
+    AT_LOOKUP,
+    WHILE_COMPUTED,
+    WHILE_WEIGHTS_CHANGE,
+    AFTER_ENGINE_RESTART,
+
+    BEFORE_CONFIGURATION_KNOWN,
+    BEFORE_AGENTS_KNOWN,
+    WHILE_SERVING,
+
+    BEFORE_NOTICE,
+    NOTICE_UNDER_WAY,
+    AFTER_NOTICE,
+
+    BEFORE_DRAIN,
+    WHILE_DRAINING,
+    AFTER_DRAIN,
+
+    BEFORE_PROPOSAL,
+    AFTER_APPEND,
+    AFTER_COMMIT,
+    WHILE_SPREADING,
+    AFTER_IN_FORCE
+}
