--- a/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
@@ -75,6 +75,12 @@
         }
     }
 
+    void runFor(long millis) {
+        long end = mNowMillis + millis;
+        runUntil(nowMillis() + millis);
+        mNowMillis = end;
+    }
+
     void after(long millis, Runnable action) {
         mEvents.add(new Event(mNowMillis + millis, mEventNumber++, action));
     }
