--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -47,7 +47,7 @@
  */
 public final class ReplicatedLog implements Log {
     private static final int SEGMENT_BYTES = 8 << 20;
-    private static final long SNAPSHOT_AFTER_BYTES = 64L << 20;
+    private static final long SNAPSHOT_AFTER_BYTES = 16L << 20;
     private static final int TICKS_IN_HEARTBEAT = 2;
 
     private final StateMachine mStateMachine;
@@ -273,13 +273,17 @@
         }
     }
 
+    /**
+     * Waits for half as many bytes of commands as the last snapshot had, so that the cost of all
+     * snapshots stays in proportion to that of the commands, however large the state is.
+     */
     private void compactIfDue() {
-        long snapshotIndex = mMember.snapshot().map(Snapshot::index).orElse(0L);
-        long entries = mAppliedIndex - snapshotIndex;
-        boolean isDue =
-                entries >= mContext.settings().limits().snapshotAfterEntries()
-                        || mBytesSinceSnapshot >= SNAPSHOT_AFTER_BYTES;
-        if (isDue) {
+        Optional<Snapshot> snapshot = mMember.snapshot();
+        long entries = mAppliedIndex - snapshot.map(Snapshot::index).orElse(0L);
+        long stateBytes = snapshot.map(taken -> taken.state().length).orElse(0);
+        boolean isWorthIt = mBytesSinceSnapshot >= stateBytes / 2;
+        int leastEntries = mContext.settings().limits().snapshotAfterEntries();
+        if ((entries >= leastEntries && isWorthIt) || mBytesSinceSnapshot >= SNAPSHOT_AFTER_BYTES) {
             mBytesSinceSnapshot = 0;
             step(new Input.Compact(mAppliedIndex, mStateMachine.snapshot()));
         }
--- a/control/src/test/java/org/ibisstand/control/ReplicatedLogTest.java
+++ b/control/src/test/java/org/ibisstand/control/ReplicatedLogTest.java
@@ -38,8 +38,9 @@
         mGroup.awaitEverywhere(20);
     }
 
-    @Test
-    void aRestartedMemberCatchesUpFromASnapshotAndATail() {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aMemberHundredsOfCommandsBehindCatchesUp(boolean fromSnapshot) {
         mGroup = LogGroup.start(mFolder, 3);
         mGroup.propose("first");
         LogGroup.Running follower = mGroup.follower();
@@ -48,7 +49,11 @@
             mGroup.propose("command " + number);
         }
 
-        mGroup.restart(follower.name());
+        if (fromSnapshot) {
+            mGroup.restartAll();
+        } else {
+            mGroup.restart(follower.name());
+        }
 
         mGroup.awaitEverywhere(300);
     }
