--- a/settings/src/main/java/org/ibisstand/settings/AgentSettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/AgentSettings.java
@@ -31,22 +31,17 @@
     /**
      * How much work the agent takes in.
      *
-     * @param maximumQueuedRequests how many requests may wait for the backend server
      * @param maximumRecordedAnswerBytes the largest answer that is kept for a resend
      * @param streamBufferBytes how much of one answer is buffered before reading pauses
-     * @param maximumIndexedPieces how many cached pieces of the engine are known at most
      */
     public record Limits(
-            @Range(from = 1, to = 1000000) int maximumQueuedRequests,
             @Range(from = 0, to = 1048576) int maximumRecordedAnswerBytes,
-            @Range(from = 4096, to = 67108864) int streamBufferBytes,
-            @Range(from = 16, to = 10000000) int maximumIndexedPieces) {}
+            @Range(from = 4096, to = 67108864) int streamBufferBytes) {}
 
     /**
      * How long the agent waits, in milliseconds.
      *
      * @param leaseMilliseconds for which an announcement at control holds
-     * @param heartbeatMilliseconds between heartbeats to other processes
      * @param backendConnectTimeoutMilliseconds for a connection to the backend server
      * @param backendIdleTimeoutMilliseconds for the next bytes of an answer
      * @param resumeMilliseconds for which a stream without a connection is kept
@@ -54,7 +49,6 @@
      */
     public record Timing(
             @Range(from = 500, to = 600000) long leaseMilliseconds,
-            @Range(from = 50, to = 60000) long heartbeatMilliseconds,
             @Range(from = 10, to = 60000) long backendConnectTimeoutMilliseconds,
             @Range(from = 100, to = 3600000) long backendIdleTimeoutMilliseconds,
             @Range(from = 0, to = 600000) long resumeMilliseconds,
--- a/settings/src/main/java/org/ibisstand/settings/BackendServer.java
+++ b/settings/src/main/java/org/ibisstand/settings/BackendServer.java
@@ -24,17 +24,13 @@
      * @param baseUrl the URL that paths are appended to
      * @param models what the engine serves when the agent starts
      * @param slots how many requests are inside the engine at once
-     * @param honoursFencing whether the engine itself refuses orders with an old fencing number
      * @param eventsPath the path of the engine's cache events, if it publishes them
-     * @param metricsPath the path of the engine's metrics page, if it has one
      */
     record Engine(
             @Form(TextForm.BASE_URL) String baseUrl,
             @Range(from = 0, to = 64) List<ServedModel> models,
             @Range(from = 1, to = 4096) int slots,
-            boolean honoursFencing,
-            @Form(TextForm.PATH_PREFIX) Optional<String> eventsPath,
-            @Form(TextForm.PATH_PREFIX) Optional<String> metricsPath)
+            @Form(TextForm.PATH_PREFIX) Optional<String> eventsPath)
             implements BackendServer {
         /** Copies the list, so that settings never change. */
         public Engine {
--- a/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
@@ -69,12 +69,10 @@
      * @param heartbeatMilliseconds between heartbeats of the leader and between connections
      * @param keyRetentionMilliseconds for which the outcome of an idempotency key is kept
      * @param greatestLeaseMilliseconds that an agent is granted
-     * @param gracefulStopMilliseconds for requests in progress when the process stops
      */
     public record Timing(
             @Range(from = 50, to = 60000) long electionTimeoutMilliseconds,
             @Range(from = 10, to = 60000) long heartbeatMilliseconds,
             @Range(from = 1000, to = 2678400000L) long keyRetentionMilliseconds,
-            @Range(from = 500, to = 600000) long greatestLeaseMilliseconds,
-            @Range(from = 0, to = 3600000) long gracefulStopMilliseconds) {}
+            @Range(from = 500, to = 600000) long greatestLeaseMilliseconds) {}
 }
--- a/settings/src/main/java/org/ibisstand/settings/EntrySettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/EntrySettings.java
@@ -45,18 +45,12 @@
      *
      * @param requestTimeoutMilliseconds for a caller to send a whole request
      * @param idleTimeoutMilliseconds for a next request on an open connection
-     * @param offerTimeoutMilliseconds for the offers of agents
-     * @param connectTimeoutMilliseconds for a connection to another process
-     * @param heartbeatMilliseconds between heartbeats to other processes
      * @param balancerWaitMilliseconds between readiness off and the refusal of connections
      * @param gracefulStopMilliseconds for requests in progress when the process stops
      */
     public record Timing(
             @Range(from = 100, to = 600000) long requestTimeoutMilliseconds,
             @Range(from = 100, to = 3600000) long idleTimeoutMilliseconds,
-            @Range(from = 1, to = 10000) long offerTimeoutMilliseconds,
-            @Range(from = 10, to = 60000) long connectTimeoutMilliseconds,
-            @Range(from = 50, to = 60000) long heartbeatMilliseconds,
             @Range(from = 0, to = 600000) long balancerWaitMilliseconds,
             @Range(from = 0, to = 3600000) long gracefulStopMilliseconds) {}
 }
--- a/settings/src/main/java/org/ibisstand/settings/Team.java
+++ b/settings/src/main/java/org/ibisstand/settings/Team.java
@@ -19,8 +19,8 @@
         @Range(from = 1, to = 1000) int weight,
         @Range(from = 1, to = 1000000) int maximumConcurrentRequests,
         @Range(from = 0.001, to = 1000000) double requestsPerSecond,
-        List<String> models,
-        List<String> services) {
+        @Range(from = 0, to = 1000) @Form(TextForm.MODEL_NAME) List<String> models,
+        @Range(from = 0, to = 1000) @Form(TextForm.NAME) List<String> services) {
     /** Copies the lists, so that a team never changes. */
     public Team {
         tokenSha256 = List.copyOf(tokenSha256);
--- a/settings/src/test/java/org/ibisstand/settings/SettingsReaderTest.java
+++ b/settings/src/test/java/org/ibisstand/settings/SettingsReaderTest.java
@@ -26,7 +26,7 @@
                     + ADMINISTRATION
                     + ",'control_addresses':['127.0.0.1:7001'],'backend':{'kind':'engine',"
                     + "'base_url':'http://127.0.0.1:9','models':[{'model':'m',"
-                    + "'weights_version':'1'}],'slots':4,'honours_fencing':true}}";
+                    + "'weights_version':'1'}],'slots':4}}";
     private static final String CONTROL =
             "{'member':'c1','zone':'a','wire':{'host':'127.0.0.1','port':7001},"
                     + ADMINISTRATION
@@ -85,10 +85,10 @@
             value = {
                 "engine | motor | known type ids",
                 "http://127.0.0.1:9 | ftp://x | $.backend.base_url",
-                "'slots':4, | '' | $.backend.slots",
+                "'slots':4 | 'events_path':'/e' | $.backend.slots",
             })
     void refusesABackendServerThatIsNotWhole(String from, String to, String message) {
-        byte[] damaged = json(AGENT.replace(from, to.equals("''") ? "" : to));
+        byte[] damaged = json(AGENT.replace(from, to));
 
         IbisstandException e =
                 assertThrows(IbisstandException.class, () -> mReader.readAgent(damaged));
