Let orders reach the engines and all members know all agents

An agent dropped every message that control sent over the agent's connection, so a changed weights version reached no engine; and it announced itself to one member, so that a new leader knew no agent for a third of a lease and an isolated member none at all. The agent now passes orders on to its gate, and announces itself to every member, also when a connection has just opened. An entry reports the revision in force back to the members that it watches.

--- a/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
@@ -53,12 +53,10 @@
      */
     public static AgentDaemon start(AgentSettings settings) {
         AgentRuntime runtime = AgentRuntime.start(settings);
+        ControlMessages messages = new ControlMessages(runtime.controlThread());
         ControlClient control =
                 ControlClient.connect(
-                        runtime.wire(),
-                        runtime.clock(),
-                        controlMembers(settings),
-                        (connection, frame) -> {});
+                        runtime.wire(), runtime.clock(), controlMembers(settings), messages);
         HttpBackend backend = HttpBackend.create(settings, runtime.traffic());
         BackendHealth health =
                 BackendHealth.create(
@@ -73,6 +71,8 @@
         String address = settings.wire().advertised(server.port()).toString();
         Announcer announcer = new Announcer(runtime, address, control, health);
         loaded.announceBy(announcer);
+        messages.passOrdersTo(work.handler());
+        messages.announceBy(announcer);
         AgentDaemon daemon =
                 new AgentDaemon(
                         runtime,
--- a/agent/src/main/java/org/ibisstand/agent/Announcer.java
+++ b/agent/src/main/java/org/ibisstand/agent/Announcer.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.settings.AgentSettings;
 import org.ibisstand.settings.BackendServer;
 import org.ibisstand.wire.ControlClient;
+import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.AgentRecord;
 import org.ibisstand.wire.message.Announce;
 import org.ibisstand.wire.message.Frame;
@@ -76,15 +78,26 @@
         return Map.copyOf(mModels);
     }
 
-    private void announce() {
+    /** Every member notes the announcement, so that the next leader knows the agent at once. */
+    void announce() {
         Announce announce = Announce.newBuilder().setAgent(record()).build();
-        Frame frame = Frame.newBuilder().setAnnounce(announce).build();
-        mControl.call(frame, ANNOUNCE_TIMEOUT)
-                .whenCompleteAsync((reply, failure) -> announced(failure), mControlThread);
+        List<CompletableFuture<Boolean>> answers =
+                mControl.connections().stream()
+                        .map(member -> announceTo(member, announce))
+                        .toList();
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenRunAsync(
+                        () -> announced(answers.stream().anyMatch(CompletableFuture::join)),
+                        mControlThread);
     }
 
-    private void announced(Throwable failure) {
-        boolean succeeded = failure == null;
+    /** Returns whether the member takes the announcement as the leader. */
+    private static CompletableFuture<Boolean> announceTo(WireConnection member, Announce announce) {
+        return member.call(Frame.newBuilder().setAnnounce(announce), ANNOUNCE_TIMEOUT)
+                .handle((reply, failure) -> failure == null);
+    }
+
+    private void announced(boolean succeeded) {
         if (succeeded != mAnnounced) {
             Logger.info("event=announced success={} agent={}", succeeded, mSettings.agent());
         }
--- a/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
@@ -47,6 +47,15 @@
     private static final String EMPTY_CONFIGURATION =
             "{\"teams\":[],\"models\":[],\"services\":[],\"priority_classes\":[]}";
 
+    private static final AnswerHandler IGNORED =
+            new AnswerHandler() {
+                @Override
+                public void answered(Frame frame) {}
+
+                @Override
+                public void lost(IbisstandException cause) {}
+            };
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient mHttp = HttpClient.newHttpClient();
@@ -177,6 +186,18 @@
         assertThat(next(updates).getAgents(0).getLeaving()).isTrue();
     }
 
+    @Test
+    void theStatusShowsTheRevisionThatAWatcherLastReported() {
+        WireConnection connection = connect();
+        Watch first = Watch.newBuilder().setProcess("entry-1").build();
+        long correlation = connection.open(Frame.newBuilder().setWatch(first), IGNORED);
+        Watch report = Watch.newBuilder().setProcess("entry-1").setRevision(9).build();
+        connection.send(correlation, Frame.newBuilder().setWatch(report));
+        connection.call(announcement(7, false), LONG).join();
+        assertThat(send("GET", "/configuration/status", "").body())
+                .contains("{\"process\":\"entry-1\",\"revision\":9}");
+    }
+
     @Test
     void anAnnouncementOfAnEndedBootIsRefused() {
         WireConnection connection = connect();
--- a/entry/src/main/java/org/ibisstand/entry/ControlWatch.java
+++ b/entry/src/main/java/org/ibisstand/entry/ControlWatch.java
@@ -36,6 +36,7 @@
     private final AgentConnections mAgents;
     private final ConfigurationReader mReader = ConfigurationReader.create();
     private final Map<AgentIdentifier, AgentRecord> mRecords = new HashMap<>();
+    private final Map<WireConnection, Long> mWatched = new HashMap<>();
     private long mRegistryEpoch;
     private long mRegistrySequence;
 
@@ -63,7 +64,21 @@
                         .setRegistryEpoch(mRegistryEpoch)
                         .setRegistrySequence(mRegistrySequence)
                         .build();
-        connection.open(Frame.newBuilder().setWatch(watch), new Updates(connection));
+        Updates updates = new Updates(connection);
+        mWatched.put(connection, connection.open(Frame.newBuilder().setWatch(watch), updates));
+    }
+
+    /** Tells every member which revision is in force here, for the status that operators see. */
+    private void reportRevision() {
+        mWatched.keySet().removeIf(connection -> !connection.isOpen());
+        Watch report =
+                Watch.newBuilder()
+                        .setProcess(mProcess)
+                        .setRevision(mState.get().revision())
+                        .build();
+        mWatched.forEach(
+                (connection, correlation) ->
+                        connection.send(correlation, Frame.newBuilder().setWatch(report)));
     }
 
     private void update(Update update) {
@@ -93,6 +108,7 @@
                     "event=configuration_applied revision={} confirmed={}",
                     update.getRevision(),
                     update.getConfirmed());
+            reportRevision();
         } catch (IbisstandException e) {
             Logger.error(
                     "event=configuration_refused revision={} code={} message={}",
