Test the executable and the client against what cannot work

Ruled out: a folder without write permission, since tests may run as a user whom permissions do not stop; a file where a folder is needed stops all.

--- a/command/src/test/java/org/ibisstand/command/MainTest.java
+++ b/command/src/test/java/org/ibisstand/command/MainTest.java
@@ -5,6 +5,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.io.StringReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -85,6 +87,74 @@
         assertThat(mErrors.toString()).contains("SETTINGS_INVALID: cannot read the file");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"entry", "agent", "control"})
+    void reportsAPortInUse(String kind) throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Path file = settings(kind, taken.getLocalPort(), mFolder.resolve("data"));
+
+            ExitCode code = run("", kind, "--settings", file.toString());
+
+            assertThat(code).isEqualTo(ExitCode.ENVIRONMENT);
+            assertThat(mErrors.toString()).startsWith("error: PORT_IN_USE: cannot listen on ");
+        }
+    }
+
+    @Test
+    void reportsADataFolderThatCannotBeWritten() throws Exception {
+        Path notAFolder = Files.writeString(mFolder.resolve("file"), "");
+        Path file = settings("control", 0, notAFolder.resolve("data"));
+
+        ExitCode code = run("", "control", "--settings", file.toString());
+
+        assertThat(code).isEqualTo(ExitCode.ENVIRONMENT);
+        assertThat(mErrors.toString()).startsWith("error: DATA_FOLDER_UNUSABLE: ");
+    }
+
+    @Test
+    void reportsAControlThatDoesNotAnswer() throws Exception {
+        Path token = Files.writeString(mFolder.resolve("token"), "operator");
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closed.close();
+            String address = "127.0.0.1:" + closed.getLocalPort();
+
+            ExitCode code =
+                    run("", "state", "--address", address, "--token-file", token.toString());
+
+            assertThat(code).isEqualTo(ExitCode.UNREACHABLE);
+        }
+    }
+
+    private Path settings(String kind, int port, Path dataFolder) throws Exception {
+        String listen = "{'host':'127.0.0.1','port':" + port + "}";
+        String common =
+                ",'zone':'a','administration':{'host':'127.0.0.1','port':0,"
+                        + "'operator_token_sha256':'"
+                        + "ab".repeat(32)
+                        + "'}";
+        String control = ",'control_addresses':['127.0.0.1:1']";
+        String text =
+                switch (kind) {
+                    case "entry" -> "{'process':'e','caller':" + listen + control + common + "}";
+                    case "agent" ->
+                            "{'agent':'a','backend':{'kind':'plain_service','services':['s'],"
+                                    + "'base_url':'http://127.0.0.1:1','slots':1},'wire':"
+                                    + listen
+                                    + control
+                                    + common
+                                    + "}";
+                    default ->
+                            "{'member':'c','members':[{'member':'c','address':'127.0.0.1:1'}],"
+                                    + "'data_folder':'"
+                                    + dataFolder
+                                    + "','wire':"
+                                    + listen
+                                    + common
+                                    + "}";
+                };
+        return Files.writeString(mFolder.resolve(kind + ".json"), text.replace('\'', '"'));
+    }
+
     private ExitCode run(String input, String... arguments) {
         PrintStream output = new PrintStream(mOutput, true, StandardCharsets.UTF_8);
         PrintStream errors = new PrintStream(mErrors, true, StandardCharsets.UTF_8);
