--- a/administration/src/main/java/org/ibisstand/administration/HttpResponses.java
+++ b/administration/src/main/java/org/ibisstand/administration/HttpResponses.java
@@ -9,10 +9,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** Turns answers into HTTP responses after which the connection closes. */
-final class HttpResponses {
+public final class HttpResponses {
     private HttpResponses() {}
 
-    static FullHttpResponse of(AdministrationResponse answer) {
+    /**
+     * Returns the HTTP response of an answer.
+     *
+     * @param answer its status and its body
+     */
+    public static FullHttpResponse of(AdministrationResponse answer) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
--- a/entry/src/main/java/org/ibisstand/entry/CallerHandler.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerHandler.java
@@ -43,7 +43,9 @@
     private void serve(ChannelHandlerContext channel, FullHttpRequest request) {
         mBusy = true;
         String identifier = mContext.nextRequestIdentifier();
-        boolean keepAlive = HttpUtil.isKeepAlive(request) && !mContext.isDraining();
+        // The decoder discards whatever follows a damaged request.
+        boolean reusable = request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request);
+        boolean keepAlive = reusable && !mContext.isDraining();
         HttpAnswerSink sink =
                 new HttpAnswerSink(
                         channel,
