--- a/measure/src/main/java/org/ibisstand/measure/AgentModel.java
+++ b/measure/src/main/java/org/ibisstand/measure/AgentModel.java
@@ -94,7 +94,7 @@
     }
 
     private void schedulePoll(Instant next) {
-        double at = Duration.between(Instant.EPOCH, next).toNanos() / 1e6 + 1;
+        double at = Duration.between(Instant.EPOCH, next).toNanos() / 1e6;
         if (at < mNextPoll) {
             mNextPoll = at;
             mSimulation.at(at, this::onPollTime);
--- a/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
+++ b/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
@@ -218,11 +218,20 @@
         return actions;
     }
 
-    /** Returns when the next poll is due even if nothing happens until then. */
+    /** Returns when the next poll is due even if nothing happens until then; it lies ahead. */
     public Optional<Instant> nextPoll() {
+        if (!mOrder.refusesEarly()) {
+            return Optional.empty();
+        }
+        // Work is late only after its deadline, so a poll at that instant would change nothing.
         return mWaiting.values().stream()
-                .map(work -> work.question().deadline())
-                .min(Instant::compareTo);
+                .map(work -> work.question().deadline().plusMillis(1))
+                .min(Instant::compareTo)
+                .map(next -> later(next, mClock.instant().plusMillis(1)));
+    }
+
+    private static Instant later(Instant left, Instant right) {
+        return left.isAfter(right) ? left : right;
     }
 
     /** Returns how much work waits. */
--- a/routing/src/test/java/org/ibisstand/routing/WorkQueueTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/WorkQueueTest.java
@@ -159,6 +159,24 @@
         assertThat(mQueue.offer(question, NO_HOLD).waitMilliseconds()).isEqualTo(0);
     }
 
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void asksForNoPollThatWouldChangeNothing(boolean refuses) {
+        mQueue = queue(QueuePolicy.SharedByClass.forEngine(1).withRefusal(refuses));
+        submit(1, "buyers", 0, SHORT_BYTES);
+        assertThat(dispatched()).containsExactly(1L);
+        mQueue.firstToken(1);
+        submit(2, "buyers", 0, SHORT_BYTES);
+        assertThat(mQueue.poll()).isEmpty();
+        while (mQueue.nextPoll().isPresent()) {
+            Instant next = mQueue.nextPoll().orElseThrow();
+            assertThat(next).isGreaterThan(mClock.instant());
+            mClock.advance(Duration.between(mClock.instant(), next));
+            mQueue.poll();
+        }
+        assertThat(mQueue.waiting()).isEqualTo(refuses ? 0 : 1);
+    }
+
     @Test
     void movesLongWorkUpAsItWaits() {
         submit(1, "buyers", 0, LONG_BYTES);
