Give control members the memory that their claims need

Cause: three member processes with a heap of 64 MiB all ended with an OutOfMemoryError at about 60000 claims, of the 100000 that the default limit allows; the whole of control was gone at once (trial: claims pushed over the wire at three processes).

Ruled out: a lower limit of claims, which would refuse work that the disk and the rates allow.

An addition of a member answers within 30 s, before the client gives up.

Not covered by a test of the build, as it needs whole processes.

--- a/control/src/main/java/org/ibisstand/control/MemberAddition.java
+++ b/control/src/main/java/org/ibisstand/control/MemberAddition.java
@@ -20,7 +20,7 @@
  * the vote. A repeated request goes on where an interrupted one ended.
  */
 final class MemberAddition {
-    private static final Duration PATIENCE = Duration.ofSeconds(60);
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     private final LogMember mMember;
     private final Instant mDeadline;
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -47,7 +47,7 @@
  */
 public final class ReplicatedLog implements Log {
     private static final int SEGMENT_BYTES = 8 << 20;
-    private static final long SNAPSHOT_AFTER_BYTES = 16L << 20;
+    private static final long SNAPSHOT_AFTER_BYTES = 8L << 20;
     private static final int TICKS_IN_HEARTBEAT = 2;
 
     private final StateMachine mStateMachine;
--- a/storage/src/main/java/org/ibisstand/storage/CheckedFile.java
+++ b/storage/src/main/java/org/ibisstand/storage/CheckedFile.java
@@ -17,12 +17,15 @@
         return name.endsWith(TEMPORARY_SUFFIX);
     }
 
-    /** Replaces the file so that a crash leaves either the old content or the new one. */
-    static void replace(Disk disk, String name, byte[] payload) throws IOException {
+    /**
+     * Replaces the file so that a crash leaves either the old content or the new one. The parts are
+     * written one by one, since a joined copy of a large state would double its memory.
+     */
+    static void replace(Disk disk, String name, byte[]... parts) throws IOException {
         String temporary = name + TEMPORARY_SUFFIX;
         try (StorageFile file = disk.open(temporary)) {
             file.truncate(0);
-            file.write(0, encode(payload));
+            write(file, parts);
             file.sync();
         }
         disk.rename(temporary, name);
@@ -35,12 +38,18 @@
         }
     }
 
-    private static byte[] encode(byte[] payload) {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
-        buffer.putInt(payload.length);
-        buffer.putInt(checksum(payload));
-        buffer.put(payload);
-        return buffer.array();
+    private static void write(StorageFile file, byte[]... parts) throws IOException {
+        long position = HEADER_BYTES;
+        CRC32C checksum = new CRC32C();
+        for (byte[] part : parts) {
+            file.write(position, part);
+            checksum.update(part);
+            position += part.length;
+        }
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+        header.putInt(Math.toIntExact(position - HEADER_BYTES));
+        header.putInt((int) checksum.getValue());
+        file.write(0, header.array());
     }
 
     private static byte[] decode(String name, byte[] content) {
--- a/storage/src/main/java/org/ibisstand/storage/SnapshotFile.java
+++ b/storage/src/main/java/org/ibisstand/storage/SnapshotFile.java
@@ -14,12 +14,11 @@
     private SnapshotFile() {}
 
     static void save(Disk disk, StoredSnapshot snapshot) throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + snapshot.payload().length);
-        buffer.putLong(snapshot.index());
-        buffer.putLong(snapshot.term());
-        buffer.put(snapshot.payload());
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+        header.putLong(snapshot.index());
+        header.putLong(snapshot.term());
         String name = PREFIX + Segment.formatted(snapshot.index());
-        CheckedFile.replace(disk, name, buffer.array());
+        CheckedFile.replace(disk, name, header.array(), snapshot.payload());
         for (String other : names(disk)) {
             if (!other.equals(name)) {
                 disk.delete(other);
