Tell damage to the last synced record from a torn write

Cause: a damaged record at the end of the log was cut as a torn write even if it had been synced and acknowledged, and the member went on without it.

Ruled out: a second file for the durable length, which doubles the syncs; waiting for a mark to be durable, which does too.

Change: after each sync a mark behind the last record says that it is durable. The next record overwrites it, and a segment is sealed without it before the next begins.

--- a/storage/src/main/java/org/ibisstand/storage/LogStore.java
+++ b/storage/src/main/java/org/ibisstand/storage/LogStore.java
@@ -135,7 +135,7 @@
                         "record " + record.index() + " cannot follow " + lastIndex());
             }
             if (mSegments.getLast().size() >= mSegmentBytes) {
-                syncNewest();
+                seal();
                 mSegments.addLast(Segment.create(mDisk, record.index()));
             }
             mSegments.getLast().append(new RecordFrame(record, mSyncedIndex));
@@ -156,6 +156,13 @@
     private void syncNewest() throws IOException {
         mSegments.getLast().sync();
         mSyncedIndex = lastIndex();
+        mSegments.getLast().mark(mSyncedIndex);
+    }
+
+    private void seal() throws IOException {
+        mSegments.getLast().sync();
+        mSyncedIndex = lastIndex();
+        mSegments.getLast().seal();
     }
 
     private void dropCovered(long index) throws IOException {
--- a/storage/src/main/java/org/ibisstand/storage/Segment.java
+++ b/storage/src/main/java/org/ibisstand/storage/Segment.java
@@ -10,6 +10,7 @@
 /** One file of the log; its name carries the index of its first record. */
 final class Segment {
     private static final String PREFIX = "log-";
+    private static final long MARK_INDEX = 0;
 
     private final String mName;
     private final long mFirstIndex;
@@ -69,6 +70,20 @@
         mFile.sync();
     }
 
+    /**
+     * Writes after the last record that it is durable, so that damage to it is told from a torn
+     * write. The next record overwrites the mark, and nothing waits for the mark to be durable.
+     */
+    void mark(long syncedIndex) throws IOException {
+        LogRecord mark = new LogRecord(MARK_INDEX, 0, new byte[0]);
+        mFile.write(mSize, new RecordFrame(mark, syncedIndex).encode());
+    }
+
+    /** Removes the mark; a segment that is not the newest must end with its last record. */
+    void seal() throws IOException {
+        cut(mSize);
+    }
+
     /** Cuts all records from an index on; the cut is durable on return. */
     void truncateFrom(long index) throws IOException {
         int kept = Math.toIntExact(index - mFirstIndex);
--- a/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
+++ b/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
@@ -108,6 +108,20 @@
         assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void damageToTheLastSyncedRecordIsRefused(int count) {
+        LogStore store = open(mDisk).store();
+        for (int index = 1; index <= count; index++) {
+            store.append(records(index, index, 1));
+            store.sync();
+        }
+        int recordBytes = RecordFrame.HEADER_BYTES + "record 1".length();
+        mDisk.damage(FIRST_SEGMENT, (count - 1) * recordBytes + 5);
+
+        assertCode(ErrorCode.STORAGE_DAMAGED, () -> open(mDisk));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"metadata", "snapshot-00000000000000000008"})
     void aDamagedSmallFileIsRefused(String name) {
