Bound what claims take of a member's memory

Keys without a time were bounded for each team only; at 5,500 teams that allows 2.8 GB. They are bounded over all teams as well; the test of that found no bound before (granted 14 of 14, allowed 7).

--- a/control/src/main/java/org/ibisstand/control/ClaimService.java
+++ b/control/src/main/java/org/ibisstand/control/ClaimService.java
@@ -14,7 +14,7 @@
 /** Answers claims and outcomes through the log. */
 final class ClaimService {
     static final int MAXIMUM_ANSWER_BYTES = 64 * 1024;
-    static final long MAXIMUM_KEPT_BYTES = 16L * 1024 * 1024;
+    static final long MAXIMUM_KEPT_BYTES = 8L * 1024 * 1024;
 
     private final Proposals mProposals;
     private final ClaimLimits mLimits;
--- a/control/src/main/java/org/ibisstand/control/ClaimTable.java
+++ b/control/src/main/java/org/ibisstand/control/ClaimTable.java
@@ -29,6 +29,7 @@
     private final Map<Long, HeldClaim> mByNumber = new HashMap<>();
     private final ArrayDeque<HeldClaim> mKeptAnswers = new ArrayDeque<>();
     private final OpaqueKeys mOpaqueKeys = new OpaqueKeys();
+    private final Names mNames = new Names();
     private long mKeptBytes;
     private long mLastClaim;
     private long mLowWaterMilliseconds;
@@ -52,7 +53,7 @@
             return ClaimReply.newBuilder().setResult(ClaimReply.Result.EXPIRED).build();
         }
         checkNewKey(key, issued, limits, nowMilliseconds);
-        return grant(claim, key, issued.isEmpty(), nowMilliseconds);
+        return grant(claim, issued.isEmpty(), nowMilliseconds);
     }
 
     /** Records the outcome of a bound attempt; false if the attempt is not the bound one. */
@@ -100,19 +101,24 @@
                     ErrorCode.IDEMPOTENCY_KEY_INVALID,
                     "the team has used all its keys without a time; send a UUID of version 7");
         }
+        if (issued.isEmpty() && mOpaqueKeys.usedInAll() >= limits.getMaximumOpaqueKeysInAll()) {
+            throw new IbisstandException(
+                    ErrorCode.IDEMPOTENCY_KEY_INVALID,
+                    "all keys without a time are used; send a UUID of version 7");
+        }
         if (mClaims.size() >= limits.getMaximumClaims()) {
             throw new IbisstandException(
                     ErrorCode.OVERLOADED, "as many claims are in retention as are allowed");
         }
     }
 
-    private ClaimReply grant(Claim claim, ClaimKey key, boolean opaque, long nowMilliseconds) {
+    private ClaimReply grant(Claim claim, boolean opaque, long nowMilliseconds) {
         mLastClaim++;
-        HeldClaim held = HeldClaim.create(claim, mLastClaim, nowMilliseconds, opaque);
-        mClaims.put(key, held);
+        HeldClaim held = HeldClaim.create(claim, mLastClaim, nowMilliseconds, opaque, mNames);
+        mClaims.put(held.key(), held);
         mByNumber.put(mLastClaim, held);
         if (opaque) {
-            mOpaqueKeys.open(key);
+            mOpaqueKeys.open(held.key());
         }
         return held.granted();
     }
@@ -179,7 +185,7 @@
             table.mOpaqueKeys.restore(spent);
         }
         for (ClaimRecord record : state.getClaimsList()) {
-            table.add(HeldClaim.restore(record));
+            table.add(HeldClaim.restore(record, table.mNames));
         }
         for (long number : state.getKeptAnswersList()) {
             table.keepRestored(number);
--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -38,6 +38,7 @@
     private static final long TICK_MILLISECONDS = 100;
     private static final long STATUS_MILLISECONDS = 500;
     private static final long MAXIMUM_OPAQUE_KEYS = 65_536;
+    private static final long MAXIMUM_OPAQUE_KEYS_IN_ALL = 1_048_576;
     private static final Duration CLOCK_TOLERANCE = Duration.ofMinutes(5);
     private static final long STOP_SECONDS = 5;
     private static final long LEADERLESS_EPOCH = 1;
@@ -167,6 +168,7 @@
                 .setClockToleranceMilliseconds(CLOCK_TOLERANCE.toMillis())
                 .setMaximumClaims(mSettings.limits().maximumClaims())
                 .setMaximumOpaqueKeys(MAXIMUM_OPAQUE_KEYS)
+                .setMaximumOpaqueKeysInAll(MAXIMUM_OPAQUE_KEYS_IN_ALL)
                 .build();
     }
 
--- a/control/src/main/java/org/ibisstand/control/HeldClaim.java
+++ b/control/src/main/java/org/ibisstand/control/HeldClaim.java
@@ -15,27 +15,34 @@
     private final ByteString mBodyDigest;
     private final long mClaimedMilliseconds;
     private final boolean mOpaque;
-    private AttemptIdentifier mAttempt;
+    private final long mNumber;
+    private int mEpoch;
     private String mAgent;
     private long mBoot;
     private Optional<Outcome> mOutcome = Optional.empty();
 
-    private HeldClaim(ClaimRecord record) {
-        mKey = new ClaimKey(record.getTeam(), record.getService(), record.getKey());
+    private HeldClaim(ClaimRecord record, Names names) {
+        mKey =
+                new ClaimKey(
+                        names.shared(record.getTeam()),
+                        names.shared(record.getService()),
+                        record.getKey());
         mBodyDigest = record.getBodyDigest();
         mClaimedMilliseconds = record.getClaimedMilliseconds();
         mOpaque = record.getOpaque();
-        mAttempt = record.getAttempt();
-        mAgent = record.getAgent();
+        mNumber = record.getAttempt().getClaim();
+        mEpoch = record.getAttempt().getEpoch();
+        mAgent = names.shared(record.getAgent());
         mBoot = record.getBoot();
         mOutcome = record.hasOutcome() ? Optional.of(record.getOutcome()) : Optional.empty();
     }
 
-    static HeldClaim restore(ClaimRecord record) {
-        return new HeldClaim(record);
+    static HeldClaim restore(ClaimRecord record, Names names) {
+        return new HeldClaim(record, names);
     }
 
-    static HeldClaim create(Claim claim, long number, long nowMilliseconds, boolean opaque) {
+    static HeldClaim create(
+            Claim claim, long number, long nowMilliseconds, boolean opaque, Names names) {
         return new HeldClaim(
                 ClaimRecord.newBuilder()
                         .setTeam(claim.getTeam())
@@ -47,7 +54,8 @@
                         .setBoot(claim.getBoot())
                         .setClaimedMilliseconds(nowMilliseconds)
                         .setOpaque(opaque)
-                        .build());
+                        .build(),
+                names);
     }
 
     ClaimKey key() {
@@ -55,7 +63,7 @@
     }
 
     long number() {
-        return mAttempt.getClaim();
+        return mNumber;
     }
 
     long claimedMilliseconds() {
@@ -78,7 +86,7 @@
         if (mOutcome.isPresent()) {
             return reply(ClaimReply.Result.FINISHED);
         }
-        if (claim.hasTombstoned() && claim.getTombstoned().equals(mAttempt)) {
+        if (claim.hasTombstoned() && claim.getTombstoned().equals(attempt())) {
             bindNext(claim);
             return granted();
         }
@@ -92,7 +100,7 @@
     /** Keeps the first outcome of the bound attempt; a resend of the same outcome succeeds. */
     boolean finish(RecordOutcome record) {
         boolean bound =
-                record.getAttempt().equals(mAttempt)
+                record.getAttempt().equals(attempt())
                         && record.getAgent().equals(mAgent)
                         && record.getBoot() == mBoot;
         if (!bound) {
@@ -126,7 +134,7 @@
                         .setService(mKey.service())
                         .setKey(mKey.key())
                         .setBodyDigest(mBodyDigest)
-                        .setAttempt(mAttempt)
+                        .setAttempt(attempt())
                         .setAgent(mAgent)
                         .setBoot(mBoot)
                         .setClaimedMilliseconds(mClaimedMilliseconds)
@@ -135,8 +143,13 @@
         return record.build();
     }
 
+    // Not kept, since a message for each of very many claims would take more than its content.
+    private AttemptIdentifier attempt() {
+        return AttemptIdentifier.newBuilder().setClaim(mNumber).setEpoch(mEpoch).build();
+    }
+
     private void bindNext(Claim claim) {
-        mAttempt = mAttempt.toBuilder().setEpoch(mAttempt.getEpoch() + 1).build();
+        mEpoch++;
         mAgent = claim.getAgent();
         mBoot = claim.getBoot();
     }
@@ -144,7 +157,7 @@
     private ClaimReply reply(ClaimReply.Result result) {
         ClaimReply.Builder reply = ClaimReply.newBuilder().setResult(result);
         if (result != ClaimReply.Result.BODY_MISMATCH) {
-            reply.setAttempt(mAttempt).setAgent(mAgent).setBoot(mBoot);
+            reply.setAttempt(attempt()).setAgent(mAgent).setBoot(mBoot);
             mOutcome.ifPresent(reply::setOutcome);
         }
         return reply.build();
--- a/control/src/main/java/org/ibisstand/control/OpaqueKeys.java
+++ b/control/src/main/java/org/ibisstand/control/OpaqueKeys.java
@@ -15,6 +15,7 @@
  */
 final class OpaqueKeys {
     private final TreeMap<String, TeamKeys> mTeams = new TreeMap<>();
+    private long mUsedInAll;
 
     /** Returns whether the key has expired. */
     boolean isSpent(ClaimKey key) {
@@ -28,8 +29,14 @@
         return keys == null ? 0 : keys.mOpen + keys.mSpent.length;
     }
 
+    /** Returns how many keys all teams have used. */
+    long usedInAll() {
+        return mUsedInAll;
+    }
+
     /** Counts a key that is in retention. */
     void open(ClaimKey key) {
+        mUsedInAll++;
         mTeams.computeIfAbsent(key.team(), team -> new TeamKeys()).mOpen++;
     }
 
@@ -37,7 +44,9 @@
     void spend(ClaimKey key) {
         TeamKeys keys = mTeams.get(key.team());
         keys.mOpen--;
-        keys.insert(digestOf(key));
+        if (!keys.insert(digestOf(key))) {
+            mUsedInAll--;
+        }
     }
 
     Iterable<SpentKeys> snapshot() {
@@ -49,6 +58,7 @@
 
     void restore(SpentKeys spent) {
         TeamKeys keys = mTeams.computeIfAbsent(spent.getTeam(), team -> new TeamKeys());
+        mUsedInAll += spent.getDigestsCount();
         keys.mSpent = spent.getDigestsList().stream().mapToLong(Long::longValue).toArray();
     }
 
@@ -71,16 +81,17 @@
         private long[] mSpent = new long[0];
         private long mOpen;
 
-        private void insert(long digest) {
+        private boolean insert(long digest) {
             int found = Arrays.binarySearch(mSpent, digest);
             if (found >= 0) {
-                return;
+                return false;
             }
             int place = -found - 1;
             long[] grown = Arrays.copyOf(mSpent, mSpent.length + 1);
             System.arraycopy(mSpent, place, grown, place + 1, mSpent.length - place);
             grown[place] = digest;
             mSpent = grown;
+            return true;
         }
     }
 }
--- a/control/src/test/java/org/ibisstand/control/Commands.java
+++ b/control/src/test/java/org/ibisstand/control/Commands.java
@@ -25,6 +25,7 @@
                     .setClockToleranceMilliseconds(TOLERANCE_MILLISECONDS)
                     .setMaximumClaims(6)
                     .setMaximumOpaqueKeys(5)
+                    .setMaximumOpaqueKeysInAll(7)
                     .build();
     static final long KEPT_BYTES = 100;
 
--- a/control/src/test/java/org/ibisstand/control/ControlStateTest.java
+++ b/control/src/test/java/org/ibisstand/control/ControlStateTest.java
@@ -61,6 +61,21 @@
         assertThat(reply.getResult()).isEqualTo(ClaimReply.Result.BOUND);
     }
 
+    @Test
+    void keysWithoutATimeAreBoundedOverAllTeams() {
+        long granted = 0;
+        for (int team = 0; team < 2 * Commands.LIMITS.getMaximumOpaqueKeysInAll(); team++) {
+            long now = 100_000L + team * 60_000L;
+            Claim claim =
+                    Commands.claim("key", "body", "agent-1", 1).toBuilder()
+                            .setTeam("team-" + team)
+                            .build();
+            granted += mState.apply(Commands.command(now, claim)).hasClaim() ? 1 : 0;
+            mState.restore(mState.snapshot());
+        }
+        assertThat(granted).isEqualTo(Commands.LIMITS.getMaximumOpaqueKeysInAll());
+    }
+
     @Test
     void yearsOfTimedKeysLeaveNothingBehind() {
         int size = 0;
