Name candidates by two prefixes, not three

Offers of the middle prefix's agents were seldom taken: the shallowest prefix's agents hold the middle levels too. Candidates are the hint, the first and second ranks of the deepest shared and of the shallowest prefix, then further ranks.

Also taken out: learning from the pieces that offers name.

--- a/routing/src/main/java/org/ibisstand/routing/Candidates.java
+++ b/routing/src/main/java/org/ibisstand/routing/Candidates.java
@@ -8,9 +8,10 @@
 /**
  * Names the agents that are worth asking for an offer.
  *
- * <p>They are the ranks by rendezvous hashing for three prefixes of the prompt: the deepest that
- * other prompts share, a middle one and the shallowest; and the agent that got the deepest prefix
- * last. All entries that saw the same prompts name the same agents.
+ * <p>They are the agent that got the deepest prefix last, and the ranks by rendezvous hashing for
+ * two prefixes of the prompt: the deepest that other prompts share, and the shallowest, whose
+ * agents probably hold the levels between. All entries that saw the same prompts name the same
+ * agents.
  */
 final class Candidates {
     private final RecentPlacements mRecent;
@@ -64,7 +65,7 @@
 
     private long[] levels(PrefixChain chain) {
         int deepest = deepestPiece(chain);
-        return new long[] {chain.hash(deepest), chain.hash(deepest / 2), chain.hash(0)};
+        return new long[] {chain.hash(deepest), chain.hash(0)};
     }
 
     private int deepestPiece(PrefixChain chain) {
--- a/routing/src/main/java/org/ibisstand/routing/Placement.java
+++ b/routing/src/main/java/org/ibisstand/routing/Placement.java
@@ -191,16 +191,8 @@
     }
 
     /** Takes in what an offer tells about the agent. */
-    void learn(PlacementRequest request, AgentIdentifier agent, Offer offer, Instant now) {
+    void learn(AgentIdentifier agent, Offer offer, Instant now) {
         mLoads.reported(agent, offer.queued(), now);
-        request.chain().ifPresent(chain -> learnHeld(chain, agent, offer.heldPieces()));
-    }
-
-    private void learnHeld(PrefixChain chain, AgentIdentifier agent, int heldPieces) {
-        // A shallower finding must not replace what is known of deeper prefixes.
-        if (heldPieces > mRecent.sharedPieces(chain)) {
-            mRecent.remember(chain, heldPieces, agent);
-        }
     }
 
     /** Returns how many times longer than predicted an agent takes now. */
--- a/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
@@ -57,7 +57,7 @@
      */
     public PlacementStep onOffer(
             AgentIdentifier agent, BootIdentifier boot, Offer offer, Instant now) {
-        mPlacement.learn(mRequest, agent, offer, now);
+        mPlacement.learn(agent, offer, now);
         if (mOver || !mAwaited.remove(agent)) {
             return new PlacementStep.Wait();
         }
