Ask more agents about prompts that an entry hardly knows

A restarted entry knows no hints and takes the middle of a prompt for its deepest shared prefix, so it missed the holder and made copies. Tried and not taken: a recompute weight of 1.5 in place of 2.

--- a/routing/src/main/java/org/ibisstand/routing/Placement.java
+++ b/routing/src/main/java/org/ibisstand/routing/Placement.java
@@ -79,7 +79,12 @@
         }
         OfferCost cost = OfferCost.of(chain, policy.recomputeWeight());
         PlacementRound round = new PlacementRound(request, policy, cost, candidates, this);
-        return new Start(Optional.of(round), round.askFirst());
+        return new Start(Optional.of(round), round.askFirst(firstCandidates(chain, policy)));
+    }
+
+    private int firstCandidates(PrefixChain chain, PlacementPolicy.Offers policy) {
+        boolean isMostlyKnown = 2 * mRecent.sharedPieces(chain) >= chain.length();
+        return isMostlyKnown ? policy.firstCandidates() : policy.allCandidates();
     }
 
     private Optional<AgentView> choose(
--- a/routing/src/main/java/org/ibisstand/routing/PlacementPolicy.java
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementPolicy.java
@@ -10,8 +10,10 @@
      * Asks a few agents that may hold the prompt and takes the cheapest offer; requests without a
      * whole piece of prompt are placed like {@link TwoChoices}.
      *
-     * @param firstCandidates how many agents are asked at first
-     * @param allCandidates how many agents are asked at most, when the first offers are all dear
+     * @param firstCandidates how many agents are asked at first about a prompt of which at least
+     *     half was placed lately
+     * @param allCandidates how many agents are asked at most: at once about any other prompt, as a
+     *     second question when the first offers are all dear
      * @param recomputeWeight how often a millisecond of recomputation counts, at least one
      * @param patience how long offers are waited for
      */
--- a/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
+++ b/routing/src/main/java/org/ibisstand/routing/PlacementRound.java
@@ -42,9 +42,9 @@
         mPlacement = placement;
     }
 
-    /** Returns the first agents to ask. */
-    PlacementStep askFirst() {
-        return ask(Math.min(mPolicy.firstCandidates(), mCandidates.size()));
+    /** Returns the first agents to ask, at most as many as given. */
+    PlacementStep askFirst(int count) {
+        return ask(Math.min(count, mCandidates.size()));
     }
 
     /**
