--- a/routing/src/main/java/org/ibisstand/routing/Placement.java
+++ b/routing/src/main/java/org/ibisstand/routing/Placement.java
@@ -79,7 +79,12 @@
         }
         OfferCost cost = OfferCost.of(chain, policy.recomputeWeight());
         PlacementRound round = new PlacementRound(request, policy, cost, candidates, this);
-        return new Start(Optional.of(round), round.askFirst());
+        return new Start(Optional.of(round), round.askFirst(firstCandidates(chain, policy)));
+    }
+
+    private int firstCandidates(PrefixChain chain, PlacementPolicy.Offers policy) {
+        boolean isMostlyKnown = 2 * mRecent.sharedPieces(chain) >= chain.length();
+        return isMostlyKnown ? policy.firstCandidates() : policy.allCandidates();
     }
 
     private Optional<AgentView> choose(
@@ -191,16 +196,8 @@
     }
 
     /** Takes in what an offer tells about the agent. */
-    void learn(PlacementRequest request, AgentIdentifier agent, Offer offer, Instant now) {
+    void learn(AgentIdentifier agent, Offer offer, Instant now) {
         mLoads.reported(agent, offer.queued(), now);
-        request.chain().ifPresent(chain -> learnHeld(chain, agent, offer.heldPieces()));
-    }
-
-    private void learnHeld(PrefixChain chain, AgentIdentifier agent, int heldPieces) {
-        // A shallower finding must not replace what is known of deeper prefixes.
-        if (heldPieces > mRecent.sharedPieces(chain)) {
-            mRecent.remember(chain, heldPieces, agent);
-        }
     }
 
     /** Returns how many times longer than predicted an agent takes now. */
