--- a/command/src/test/java/org/ibisstand/command/LocalSystem.java
+++ b/command/src/test/java/org/ibisstand/command/LocalSystem.java
@@ -1,5 +1,7 @@
 package org.ibisstand.command;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -38,12 +40,13 @@
     private final FakeService mService;
     private final AgentDaemon mEngineAgent;
     private final EntryDaemon mEntry;
+    private final ControlDaemon mControl;
 
     private LocalSystem(Path folder, FakeEngineOptions options) throws Exception {
         mEngine = add(FakeEngine.start(options, MonotonicClock.start()));
         mService = add(FakeService.start("127.0.0.1", 0));
-        ControlDaemon control = add(startControl(folder));
-        String addresses = ",'control_addresses':['127.0.0.1:" + control.port() + "']";
+        mControl = add(startControl(folder));
+        String addresses = ",'control_addresses':['127.0.0.1:" + mControl.port() + "']";
         mEngineAgent =
                 add(
                         startAgent(
@@ -61,7 +64,7 @@
                                 + "'",
                         addresses));
         mEntry = add(startEntry(addresses));
-        applyConfiguration(control.administrationPort());
+        applyConfiguration(mControl.administrationPort());
         awaitServing();
     }
 
@@ -118,6 +121,22 @@
                 "Bearer " + TEAM_TOKEN);
     }
 
+    /** Asks the administration port of the entry, the engine's agent or control. */
+    JsonNode administration(String role, String path) throws Exception {
+        int port =
+                switch (role) {
+                    case "Entry" -> mEntry.administrationPort();
+                    case "Agent" -> mEngineAgent.administrationPort();
+                    default -> mControl.administrationPort();
+                };
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                        .header("Authorization", "Bearer " + OPERATOR_TOKEN)
+                        .build();
+        String body = mClient.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        return JsonMapper.builder().build().readTree(body);
+    }
+
     String engineState() throws Exception {
         URI target = URI.create(mEngine.baseUrl() + "/admin/state");
         HttpRequest request = HttpRequest.newBuilder(target).build();
