Refuse by the usual speed, not by a moment's

Cause: while a server was slowed, long work was refused as if the slow-down lasted for all of its prefill; such moments last one to three seconds. Change: refusals and the bound between short and long use the speed without the present slow-down; offers still tell the present speed.

--- a/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
+++ b/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
@@ -68,7 +68,7 @@
         QueuedWork candidate = estimate(new Work(0, question, 0), now);
         double rate = mSpeed.bytesPerMillisecond(now);
         double prefill = candidate.mBytes / rate;
-        double wait = wait(candidate, now);
+        double wait = wait(candidate, rate, now);
         int level = mOrder.level(candidate, now);
         long identifier = 0;
         if (hold.isPositive()) {
@@ -107,7 +107,7 @@
             return;
         }
         QueuedWork queued = estimate(work, now);
-        double late = lateness(queued, wait(queued, now), now);
+        double late = lateness(queued, wait(queued, usualRate(now), now), now);
         if (mOrder.refusesEarly() && late > 0) {
             refuseLate(work, late);
             return;
@@ -283,13 +283,11 @@
         var chain = work.question().chain();
         work.mHeldPieces = mPending.extend(chain, mIndex.heldPieces(chain));
         work.mBytes = chain.promptBytes() - (double) work.mHeldPieces * chain.pieceBytes();
-        double rate = mSpeed.bytesPerMillisecond(now) * mSpeed.slowness(now);
-        work.mLong = work.mBytes / rate > mOrder.longMilliseconds();
+        work.mLong = work.mBytes / usualRate(now) > mOrder.longMilliseconds();
     }
 
-    private double wait(QueuedWork candidate, double now) {
+    private double wait(QueuedWork candidate, double rate, double now) {
         mPlaces.expire(now);
-        double rate = mSpeed.bytesPerMillisecond(now);
         double prefill =
                 mForecast.prefillAhead(
                         candidate, mWaiting.values(), mRunning.values(), mPlaces, rate, now);
@@ -307,13 +305,18 @@
         return prefill > 0 ? wait + prefill : wait + mServiceTime.milliseconds();
     }
 
+    /** Returns the speed without a present slow-down, which lasts for a moment only. */
+    private double usualRate(double now) {
+        return mSpeed.bytesPerMillisecond(now) * mSpeed.slowness(now);
+    }
+
     /** Returns by how much the first token is predicted to miss the deadline. */
     private double lateness(QueuedWork work, double wait, double now) {
         if (mRunning.isEmpty() && wait == 0) {
             // An idle server may always try, else one wrong estimate of its speed would last.
             return now - work.mDeadline;
         }
-        double prefill = work.mBytes / mSpeed.bytesPerMillisecond(now);
+        double prefill = work.mBytes / usualRate(now);
         return now + firstToken(wait, prefill) - work.mDeadline;
     }
 
