--- a/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
@@ -40,7 +40,7 @@
          */
         public static SharedByClass forEngine(int concurrency) {
             return new SharedByClass(
-                    concurrency, 600, 800, 0.7, Duration.ofSeconds(4), 2048, true, 0.3);
+                    concurrency, 2000, 800, 0.7, Duration.ofSeconds(4), 2048, true, 0.3);
         }
 
         /**
