Make offers that hold no place

Cause: an offer held its place for a moment and the hold counted as work ahead of later offers, so that a herd of entries would not pick the same agent. Three of four held places are never taken up, so agents looked busier than they were.

--- a/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentHandler.java
@@ -1,7 +1,6 @@
 package org.ibisstand.agent;
 
 import java.time.Clock;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import org.ibisstand.base.BootIdentifier;
@@ -77,9 +76,8 @@
                         request.getPriority(),
                         chainOf(request),
                         mClock.instant().plusMillis(request.getDeadlineMilliseconds()));
-        Duration hold = Duration.ofMillis(request.getHoldMilliseconds());
         try {
-            connection.send(correlation, Offers.frameOf(mWorkload.offer(question, hold), mBoot));
+            connection.send(correlation, Offers.frameOf(mWorkload.offer(question), mBoot));
         } catch (IbisstandException e) {
             connection.send(correlation, Failures.frameOf(e));
         }
--- a/agent/src/main/java/org/ibisstand/agent/Offers.java
+++ b/agent/src/main/java/org/ibisstand/agent/Offers.java
@@ -11,7 +11,6 @@
     static Frame.Builder frameOf(org.ibisstand.routing.Offer offer, BootIdentifier boot) {
         Offer message =
                 Offer.newBuilder()
-                        .setHold(offer.hold())
                         .setHeldPieces(offer.heldPieces())
                         .setWaitMilliseconds(offer.waitMilliseconds())
                         .setFirstTokenMilliseconds(offer.firstTokenMilliseconds())
--- a/agent/src/main/java/org/ibisstand/agent/Workload.java
+++ b/agent/src/main/java/org/ibisstand/agent/Workload.java
@@ -85,11 +85,11 @@
      *
      * @throws IbisstandException with BACKEND_UNREACHABLE while the backend server is down
      */
-    Offer offer(Question question, Duration hold) {
+    Offer offer(Question question) {
         if (mHealth.isDown()) {
             throw new IbisstandException(ErrorCode.BACKEND_UNREACHABLE, BACKEND_DOWN);
         }
-        return mQueue.offer(question, hold);
+        return mQueue.offer(question);
     }
 
     /** Takes a request in; its answer or refusal goes out over the stream. */
@@ -105,7 +105,7 @@
             return;
         }
         mExecutions.put(execution.work(), execution);
-        mQueue.submit(new Work(execution.work(), question, submit.getHold()));
+        mQueue.submit(new Work(execution.work(), question));
         poll();
     }
 
--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -192,7 +192,7 @@
                     true);
             return;
         }
-        Submit submit = Submits.of(mCall, mChoice, agent, identifier, mContext.now(), mAttempts);
+        Submit submit = Submits.of(mCall, agent, identifier, mContext.now(), mAttempts);
         attempt.attach(
                 InboundStream.submit(
                         agent.agent(),
--- a/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
+++ b/entry/src/main/java/org/ibisstand/entry/PlacementFlow.java
@@ -21,7 +21,6 @@
 
 /** Performs the steps of one placement: asks agents for offers and reports what they answer. */
 final class PlacementFlow {
-    private static final Duration HOLD = Duration.ofMillis(50);
     private static final Duration LATE_ANSWER = Duration.ofMillis(200);
 
     private final Call mCall;
@@ -80,9 +79,7 @@
             return;
         }
         Frame.Builder request =
-                Frame.newBuilder()
-                        .setOfferRequest(
-                                Submits.offerRequest(mCall, mContext.now(), HOLD.toMillis()));
+                Frame.newBuilder().setOfferRequest(Submits.offerRequest(mCall, mContext.now()));
         connection
                 .get()
                 .call(request, LATE_ANSWER)
@@ -105,7 +102,6 @@
 
     private static org.ibisstand.routing.Offer read(Offer offer) {
         return new org.ibisstand.routing.Offer(
-                offer.getHold(),
                 offer.getHeldPieces(),
                 offer.getWaitMilliseconds(),
                 offer.getFirstTokenMilliseconds(),
--- a/entry/src/main/java/org/ibisstand/entry/Submits.java
+++ b/entry/src/main/java/org/ibisstand/entry/Submits.java
@@ -5,8 +5,6 @@
 import java.util.Optional;
 import org.ibisstand.base.PrefixChain;
 import org.ibisstand.routing.AgentView;
-import org.ibisstand.routing.Choice;
-import org.ibisstand.routing.Offer;
 import org.ibisstand.wire.message.AttemptIdentifier;
 import org.ibisstand.wire.message.OfferRequest;
 import org.ibisstand.wire.message.Submit;
@@ -17,7 +15,6 @@
 
     static Submit of(
             Call call,
-            Optional<Choice> choice,
             AgentView agent,
             Optional<AttemptIdentifier> attempt,
             Instant now,
@@ -36,7 +33,6 @@
                         .setStream(call.isStream())
                         .setBoot(agent.boot().value())
                         .setHopAttempt(hopAttempt);
-        choice.flatMap(Choice::offer).map(Offer::hold).ifPresent(submit::setHold);
         attempt.ifPresent(submit::setAttempt);
         switch (call.target()) {
             case Call.Target.Model model -> addModel(submit, model);
@@ -45,12 +41,11 @@
         return submit.build();
     }
 
-    static OfferRequest offerRequest(Call call, Instant now, long holdMilliseconds) {
+    static OfferRequest offerRequest(Call call, Instant now) {
         OfferRequest.Builder request =
                 OfferRequest.newBuilder()
                         .setTeam(call.team().name())
                         .setPriority(call.priorityClass().rank())
-                        .setHoldMilliseconds(holdMilliseconds)
                         .setDeadlineMilliseconds(call.timeLeft(now).toMillis());
         switch (call.target()) {
             case Call.Target.Model model -> addModel(request, model);
--- a/measure/src/main/java/org/ibisstand/measure/RoutedRequest.java
+++ b/measure/src/main/java/org/ibisstand/measure/RoutedRequest.java
@@ -96,7 +96,7 @@
     }
 
     private void answer(AgentModel agent, PlacementRound round) {
-        Offer offer = agent.offer(mQuestion, mEntry.hold());
+        Offer offer = agent.offer(mQuestion);
         AgentView view = agent.view();
         mSimulation.after(
                 mEntry.latency(view),
--- a/routing/src/main/java/org/ibisstand/routing/Offer.java
+++ b/routing/src/main/java/org/ibisstand/routing/Offer.java
@@ -1,9 +1,8 @@
 package org.ibisstand.routing;
 
 /**
- * What an agent predicts for a request; the place is held for a moment.
+ * What an agent predicts for a request at one moment; it holds no place.
  *
- * @param hold names the held place, zero if none is held
  * @param heldPieces the leading pieces of the prompt that the engine has or is computing
  * @param waitMilliseconds the predicted time until the request's own prefill starts
  * @param firstTokenMilliseconds the predicted time to its first token, wait included
@@ -12,7 +11,6 @@
  * @param costOnOthersMilliseconds the sum of the delays that waiting work would suffer
  */
 public record Offer(
-        long hold,
         int heldPieces,
         double waitMilliseconds,
         double firstTokenMilliseconds,
--- a/routing/src/main/java/org/ibisstand/routing/QueueForecast.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueueForecast.java
@@ -19,7 +19,6 @@
             QueuedWork candidate,
             Collection<QueuedWork> waiting,
             Collection<QueuedWork> running,
-            HeldPlaces places,
             double rate,
             double now) {
         int level = mOrder.level(candidate, now);
@@ -33,11 +32,6 @@
                 sameLevel.merge(work.team(), work.mBytes / rate, Double::sum);
             }
         }
-        for (HeldPlaces.Place place : places.places()) {
-            if (place.level() <= level) {
-                ahead += mOrder.holdWeight() * place.milliseconds();
-            }
-        }
         return ahead + shareAhead(candidate, sameLevel, rate);
     }
 
--- a/routing/src/main/java/org/ibisstand/routing/QueueOrder.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueueOrder.java
@@ -37,13 +37,6 @@
         };
     }
 
-    double holdWeight() {
-        return switch (mPolicy) {
-            case QueuePolicy.FirstComeFirstServed first -> 0;
-            case QueuePolicy.SharedByClass shared -> shared.holdWeight();
-        };
-    }
-
     /** Returns the urgency of work; lower goes first. Long work stands one level behind short. */
     int level(QueuedWork work, double now) {
         return switch (mPolicy) {
--- a/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
+++ b/routing/src/main/java/org/ibisstand/routing/QueuePolicy.java
@@ -21,7 +21,6 @@
      * @param ageing the wait after which work moves up by one class
      * @param maximumQueued the most work that may wait
      * @param refuseEarly whether work is refused as soon as it is predicted to miss its deadline
-     * @param holdWeight the part of held places' prefill that offers count as work ahead
      */
     record SharedByClass(
             int concurrency,
@@ -30,8 +29,7 @@
             double longShare,
             Duration ageing,
             int maximumQueued,
-            boolean refuseEarly,
-            double holdWeight)
+            boolean refuseEarly)
             implements QueuePolicy {
         /**
          * Returns the policy for a model engine.
@@ -40,7 +38,7 @@
          */
         public static SharedByClass forEngine(int concurrency) {
             return new SharedByClass(
-                    concurrency, 2000, 800, 0.7, Duration.ofSeconds(4), 2048, true, 0.3);
+                    concurrency, 2000, 800, 0.7, Duration.ofSeconds(4), 2048, true);
         }
 
         /**
@@ -56,8 +54,7 @@
                     1,
                     Duration.ofSeconds(1),
                     4096,
-                    true,
-                    0.3);
+                    true);
         }
 
         /**
@@ -73,8 +70,7 @@
                     longShare,
                     ageing,
                     maximumQueued,
-                    refuses,
-                    holdWeight);
+                    refuses);
         }
 
         /**
@@ -90,8 +86,7 @@
                     longShare,
                     ageing,
                     maximumQueued,
-                    refuseEarly,
-                    holdWeight);
+                    refuseEarly);
         }
 
         /**
@@ -107,8 +102,7 @@
                     longShare,
                     wait,
                     maximumQueued,
-                    refuseEarly,
-                    holdWeight);
+                    refuseEarly);
         }
 
         /**
@@ -124,8 +118,7 @@
                     longShare,
                     ageing,
                     maximumQueued,
-                    refuseEarly,
-                    holdWeight);
+                    refuseEarly);
         }
     }
 
--- a/routing/src/main/java/org/ibisstand/routing/Work.java
+++ b/routing/src/main/java/org/ibisstand/routing/Work.java
@@ -5,6 +5,5 @@
  *
  * @param identifier names the attempt at this agent; never used twice
  * @param question what the attempt needs
- * @param hold the hold of the offer that it takes up, or zero
  */
-public record Work(long identifier, Question question, long hold) {}
+public record Work(long identifier, Question question) {}
--- a/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
+++ b/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
@@ -29,7 +29,6 @@
     private final Map<Long, QueuedWork> mRunning = new LinkedHashMap<>();
     private final PendingPieces mPending = new PendingPieces();
     private final TeamShares mShares = new TeamShares();
-    private final HeldPlaces mPlaces = new HeldPlaces();
     private final PrefillSpeed mSpeed = new PrefillSpeed();
     private final ServiceTime mServiceTime = new ServiceTime();
     private final List<QueueAction> mRefusals = new ArrayList<>();
@@ -58,25 +57,19 @@
     }
 
     /**
-     * Predicts when a request would get its first token and holds a place for it.
+     * Predicts when a request would get its first token.
      *
      * @param question what the request needs
-     * @param hold how long the place is held; zero holds none
      */
-    public Offer offer(Question question, Duration hold) {
+    public Offer offer(Question question) {
         double now = advance();
-        QueuedWork candidate = estimate(new Work(0, question, 0), now);
+        QueuedWork candidate = estimate(new Work(0, question), now);
         double rate = mSpeed.bytesPerMillisecond(now);
         double prefill = candidate.mBytes / rate;
         double wait = wait(candidate, rate, now);
         int level = mOrder.level(candidate, now);
-        long identifier = 0;
-        if (hold.isPositive()) {
-            identifier = mPlaces.hold(level, question.team(), prefill, now + hold.toMillis());
-        }
         double others = mForecast.delayOfOthers(mWaiting.values(), level, prefill, now);
         return new Offer(
-                identifier,
                 candidate.mHeldPieces,
                 wait,
                 firstToken(wait, prefill),
@@ -85,15 +78,6 @@
                 others);
     }
 
-    /**
-     * Gives up a held place at once, so that it delays no other offer.
-     *
-     * @param hold the hold that an offer named
-     */
-    public void release(long hold) {
-        mPlaces.release(hold);
-    }
-
     /**
      * Takes work in; a refusal comes out of the next poll.
      *
@@ -101,7 +85,6 @@
      */
     public void submit(Work work) {
         double now = advance();
-        mPlaces.release(work.hold());
         if (mLeaving) {
             refuse(work, ErrorCode.AGENT_LEAVING, "the agent is leaving", Optional.empty());
             return;
@@ -204,7 +187,6 @@
     /** Returns what must be dispatched or refused now, in this order. */
     public List<QueueAction> poll() {
         double now = advance();
-        mPlaces.expire(now);
         if (mOrder.refusesEarly()) {
             refuseHopeless(now);
         }
@@ -287,10 +269,8 @@
     }
 
     private double wait(QueuedWork candidate, double rate, double now) {
-        mPlaces.expire(now);
         double prefill =
-                mForecast.prefillAhead(
-                        candidate, mWaiting.values(), mRunning.values(), mPlaces, rate, now);
+                mForecast.prefillAhead(candidate, mWaiting.values(), mRunning.values(), rate, now);
         double slots =
                 mForecast.slotWait(
                         candidate,
