Test the graceful stop of entry and agent with a stream in progress

Cause: nothing showed that a stop cuts no stream, and that work refused by a leaving agent did not run.

Ruled out: a stop of whole processes by signals in a unit test, since a process of the tests may start no other; done by hand instead.

--- a/command/src/test/java/org/ibisstand/command/LocalSystem.java
+++ b/command/src/test/java/org/ibisstand/command/LocalSystem.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.ibisstand.agent.AgentDaemon;
 import org.ibisstand.base.Digests;
 import org.ibisstand.base.MonotonicClock;
@@ -98,6 +99,11 @@
 
     HttpResponse<String> send(String method, String path, String body, String... headers)
             throws Exception {
+        return sendLater(method, path, body, headers).get();
+    }
+
+    CompletableFuture<HttpResponse<String>> sendLater(
+            String method, String path, String body, String... headers) {
         URI target = URI.create("http://127.0.0.1:" + mEntry.port() + path);
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(target)
@@ -108,7 +114,7 @@
         for (int index = 0; index < headers.length; index += 2) {
             request.header(headers[index], headers[index + 1]);
         }
-        return mClient.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
     /** Sends a well-formed completion, which must be answered whatever came before. */
