--- a/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
+++ b/routing/src/main/java/org/ibisstand/routing/WorkQueue.java
@@ -29,7 +29,6 @@
     private final Map<Long, QueuedWork> mRunning = new LinkedHashMap<>();
     private final PendingPieces mPending = new PendingPieces();
     private final TeamShares mShares = new TeamShares();
-    private final HeldPlaces mPlaces = new HeldPlaces();
     private final PrefillSpeed mSpeed = new PrefillSpeed();
     private final ServiceTime mServiceTime = new ServiceTime();
     private final List<QueueAction> mRefusals = new ArrayList<>();
@@ -58,25 +57,19 @@
     }
 
     /**
-     * Predicts when a request would get its first token and holds a place for it.
+     * Predicts when a request would get its first token.
      *
      * @param question what the request needs
-     * @param hold how long the place is held; zero holds none
      */
-    public Offer offer(Question question, Duration hold) {
+    public Offer offer(Question question) {
         double now = advance();
-        QueuedWork candidate = estimate(new Work(0, question, 0), now);
+        QueuedWork candidate = estimate(new Work(0, question), now);
         double rate = mSpeed.bytesPerMillisecond(now);
         double prefill = candidate.mBytes / rate;
-        double wait = wait(candidate, now);
+        double wait = wait(candidate, rate, now);
         int level = mOrder.level(candidate, now);
-        long identifier = 0;
-        if (hold.isPositive()) {
-            identifier = mPlaces.hold(level, question.team(), prefill, now + hold.toMillis());
-        }
         double others = mForecast.delayOfOthers(mWaiting.values(), level, prefill, now);
         return new Offer(
-                identifier,
                 candidate.mHeldPieces,
                 wait,
                 firstToken(wait, prefill),
@@ -85,15 +78,6 @@
                 others);
     }
 
-    /**
-     * Gives up a held place at once, so that it delays no other offer.
-     *
-     * @param hold the hold that an offer named
-     */
-    public void release(long hold) {
-        mPlaces.release(hold);
-    }
-
     /**
      * Takes work in; a refusal comes out of the next poll.
      *
@@ -101,13 +85,12 @@
      */
     public void submit(Work work) {
         double now = advance();
-        mPlaces.release(work.hold());
         if (mLeaving) {
             refuse(work, ErrorCode.AGENT_LEAVING, "the agent is leaving", Optional.empty());
             return;
         }
         QueuedWork queued = estimate(work, now);
-        double late = lateness(queued, wait(queued, now), now);
+        double late = lateness(queued, wait(queued, usualRate(now), now), now);
         if (mOrder.refusesEarly() && late > 0) {
             refuseLate(work, late);
             return;
@@ -204,7 +187,6 @@
     /** Returns what must be dispatched or refused now, in this order. */
     public List<QueueAction> poll() {
         double now = advance();
-        mPlaces.expire(now);
         if (mOrder.refusesEarly()) {
             refuseHopeless(now);
         }
@@ -283,16 +265,12 @@
         var chain = work.question().chain();
         work.mHeldPieces = mPending.extend(chain, mIndex.heldPieces(chain));
         work.mBytes = chain.promptBytes() - (double) work.mHeldPieces * chain.pieceBytes();
-        double rate = mSpeed.bytesPerMillisecond(now) * mSpeed.slowness(now);
-        work.mLong = work.mBytes / rate > mOrder.longMilliseconds();
+        work.mLong = work.mBytes / usualRate(now) > mOrder.longMilliseconds();
     }
 
-    private double wait(QueuedWork candidate, double now) {
-        mPlaces.expire(now);
-        double rate = mSpeed.bytesPerMillisecond(now);
+    private double wait(QueuedWork candidate, double rate, double now) {
         double prefill =
-                mForecast.prefillAhead(
-                        candidate, mWaiting.values(), mRunning.values(), mPlaces, rate, now);
+                mForecast.prefillAhead(candidate, mWaiting.values(), mRunning.values(), rate, now);
         double slots =
                 mForecast.slotWait(
                         candidate,
@@ -307,13 +285,18 @@
         return prefill > 0 ? wait + prefill : wait + mServiceTime.milliseconds();
     }
 
+    /** Returns the speed without a present slow-down, which lasts for a moment only. */
+    private double usualRate(double now) {
+        return mSpeed.bytesPerMillisecond(now) * mSpeed.slowness(now);
+    }
+
     /** Returns by how much the first token is predicted to miss the deadline. */
     private double lateness(QueuedWork work, double wait, double now) {
         if (mRunning.isEmpty() && wait == 0) {
             // An idle server may always try, else one wrong estimate of its speed would last.
             return now - work.mDeadline;
         }
-        double prefill = work.mBytes / mSpeed.bytesPerMillisecond(now);
+        double prefill = work.mBytes / usualRate(now);
         return now + firstToken(wait, prefill) - work.mDeadline;
     }
 
