--- a/measure/src/main/java/org/ibisstand/measure/AgentModel.java
+++ b/measure/src/main/java/org/ibisstand/measure/AgentModel.java
@@ -59,12 +59,8 @@
         return mQueue.waiting() + mQueue.running();
     }
 
-    Offer offer(Question question, Duration hold) {
-        return mQueue.offer(question, hold);
-    }
-
-    void release(long hold) {
-        mQueue.release(hold);
+    Offer offer(Question question) {
+        return mQueue.offer(question);
     }
 
     void submit(Work work, int tokens, Listener listener) {
@@ -94,7 +90,7 @@
     }
 
     private void schedulePoll(Instant next) {
-        double at = Duration.between(Instant.EPOCH, next).toNanos() / 1e6 + 1;
+        double at = Duration.between(Instant.EPOCH, next).toNanos() / 1e6;
         if (at < mNextPoll) {
             mNextPoll = at;
             mSimulation.at(at, this::onPollTime);
