Time silence only on connections that carry requests

Cause: an entry with 600 idle agent connections ran 1,200 timers a second. Ruled out: a longer tick (silence would be found later). Change: the tick starts with the first waiting request or a waiting peer and stops when neither is left.

--- a/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.ErrorCode;
@@ -28,7 +29,7 @@
     private boolean mPeerWaiting;
     private boolean mToldWaiting;
     private long mSilentMilliseconds;
-    private Future<?> mTicks;
+    private Optional<Future<?>> mTicks = Optional.empty();
 
     ConnectionHandler(WireContext context, FrameHandler handler, boolean initiator) {
         mContext = context;
@@ -40,11 +41,7 @@
     public void channelActive(ChannelHandlerContext channel) {
         mConnection = new WireConnection(channel.channel(), mInitiator);
         mConnection.send(0, Frame.newBuilder().setHello(mContext.hello()));
-        long interval = mContext.settings().heartbeatInterval().toMillis();
-        mTicks =
-                channel.executor()
-                        .scheduleAtFixedRate(
-                                () -> tick(channel), interval, interval, TimeUnit.MILLISECONDS);
+        mConnection.onWaiting(() -> startTicks(channel));
     }
 
     @Override
@@ -56,7 +53,7 @@
         mReceivedSinceTick = true;
         switch (frame.getBodyCase()) {
             case HELLO -> greet(frame);
-            case HEARTBEAT -> answerHeartbeat(frame.getHeartbeat());
+            case HEARTBEAT -> answerHeartbeat(channel, frame.getHeartbeat());
             case BODY_NOT_SET -> refuse(channel, "the message is empty or of an unknown kind");
             default -> deliver(channel, frame);
         }
@@ -67,7 +64,7 @@
         if (mConnection == null) {
             return;
         }
-        mTicks.cancel(false);
+        stopTicks();
         mConnection.failWaiting();
         if (mGreeted) {
             mHandler.closed(mConnection);
@@ -92,11 +89,36 @@
         }
     }
 
-    private void answerHeartbeat(Heartbeat heartbeat) {
-        if (!heartbeat.getReply()) {
-            mPeerWaiting = heartbeat.getWaiting();
-            sendHeartbeat(true);
+    private void answerHeartbeat(ChannelHandlerContext channel, Heartbeat heartbeat) {
+        if (heartbeat.getReply()) {
+            return;
+        }
+        mPeerWaiting = heartbeat.getWaiting();
+        if (mPeerWaiting) {
+            startTicks(channel);
         }
+        sendHeartbeat(true);
+    }
+
+    private void startTicks(ChannelHandlerContext channel) {
+        if (mTicks.isEmpty()) {
+            mSilentMilliseconds = 0;
+            mReceivedSinceTick = true;
+            long interval = mContext.settings().heartbeatInterval().toMillis();
+            mTicks =
+                    Optional.of(
+                            channel.executor()
+                                    .scheduleAtFixedRate(
+                                            () -> tick(channel),
+                                            interval,
+                                            interval,
+                                            TimeUnit.MILLISECONDS));
+        }
+    }
+
+    private void stopTicks() {
+        mTicks.ifPresent(ticks -> ticks.cancel(false));
+        mTicks = Optional.empty();
     }
 
     private void tick(ChannelHandlerContext channel) {
@@ -114,6 +136,9 @@
             // The last heartbeat tells the peer that nothing is waited for any more.
             mToldWaiting = waiting;
             sendHeartbeat(false);
+        } else if (!mPeerWaiting) {
+            // An idle connection costs no timer; the next request starts it again.
+            stopTicks();
         }
     }
 
--- a/wire/src/main/java/org/ibisstand/wire/WireConnection.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireConnection.java
@@ -36,6 +36,7 @@
     private final Map<Long, AnswerHandler> mWaiting = new HashMap<>();
     private final AtomicLong mLateAnswers = new AtomicLong();
     private volatile Hello mPeer;
+    private Runnable mOnWaiting = () -> {};
 
     WireConnection(Channel channel, boolean initiator) {
         mChannel = channel;
@@ -131,6 +132,11 @@
         mChannel.close();
     }
 
+    /** Sets what runs with each request that begins to wait; for the event loop only. */
+    void onWaiting(Runnable action) {
+        mOnWaiting = action;
+    }
+
     void peerIs(Hello hello) {
         mPeer = hello;
     }
@@ -169,6 +175,7 @@
             return;
         }
         mWaiting.put(correlation, handler);
+        mOnWaiting.run();
         write(frame);
     }
 
