Take an offer whose numbers cannot be true only as the last resort

An agent that predicted with a rate of zero, or with numbers that are not finite, won every comparison: prefersASoundOfferToOneThatMakesNoSense was red for 0, -1, NaN and infinity, each time choosing the faulty agent. Such an offer now costs infinitely much. Ruled out: treating it as no offer, since the agent answers and may be the only one left.

--- a/routing/src/main/java/org/ibisstand/routing/OfferCost.java
+++ b/routing/src/main/java/org/ibisstand/routing/OfferCost.java
@@ -17,12 +17,16 @@
     }
 
     /**
-     * Returns the cost of an offer.
+     * Returns the cost of an offer; infinite if its numbers cannot be true, so that it is taken
+     * only where there is no other.
      *
      * @param offer what the agent predicts
      * @param slowness how many times longer than predicted the agent takes, at least one
      */
     double of(Offer offer, double slowness) {
+        if (!isSound(offer)) {
+            return Double.POSITIVE_INFINITY;
+        }
         double ownTime = offer.firstTokenMilliseconds() * slowness;
         double recomputed = recomputeMilliseconds(offer) * slowness;
         return ownTime
@@ -42,6 +46,18 @@
         return of(offer, slowness) > recomputeWeight * whole;
     }
 
+    private static boolean isSound(Offer offer) {
+        return isAmount(offer.waitMilliseconds())
+                && isAmount(offer.firstTokenMilliseconds())
+                && isAmount(offer.costOnOthersMilliseconds())
+                && isAmount(offer.bytesPerMillisecond())
+                && offer.bytesPerMillisecond() > 0;
+    }
+
+    private static boolean isAmount(double value) {
+        return value >= 0 && value < Double.POSITIVE_INFINITY;
+    }
+
     private double recomputeMilliseconds(Offer offer) {
         long held = (long) offer.heldPieces() * pieceBytes;
         return Math.max(0, promptBytes - held) / offer.bytesPerMillisecond();
--- a/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PlacementTest {
     private static final Instant NOW = Instant.EPOCH;
@@ -139,6 +140,25 @@
         assertThat(round.onPatienceOver(NOW)).isInstanceOf(PlacementStep.Send.class);
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {0, -1, Double.NaN, Double.POSITIVE_INFINITY})
+    void prefersASoundOfferToOneThatMakesNoSense(double nonsense) {
+        for (Offer strange :
+                List.of(
+                        new Offer(1, 3, 0, 1, nonsense, 0, 0),
+                        new Offer(1, 9, nonsense, -1 / nonsense, nonsense, 0, nonsense))) {
+            Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
+            List<AgentView> asked = ((PlacementStep.Ask) start.step()).agents();
+            AgentView faulty = asked.get(0);
+            PlacementRound round = start.round().orElseThrow();
+            round.onOffer(faulty.agent(), faulty.boot(), strange, NOW);
+            AgentView sound = asked.get(1);
+            round.onOffer(sound.agent(), sound.boot(), TestAgents.offer(0, 100, 400), NOW);
+            PlacementStep.Send send = (PlacementStep.Send) round.onPatienceOver(NOW);
+            assertThat(send.choice().agent()).isEqualTo(sound);
+        }
+    }
+
     @Test
     void passesOverAnOfferOfAnotherBoot() {
         Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
