--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -29,7 +29,6 @@
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRIES_PER_SECOND = 5;
     private static final double MOST_SAVED_RETRIES = 100;
-    private static final double HEDGE_SHARE = 0.05;
     private static final int LARGEST_SHIFT = 8;
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
@@ -69,7 +68,7 @@
         mLimits = TeamLimits.create(clock);
         mRetryBudget = RetryBudget.create(RETRY_SHARE, RETRIES_PER_SECOND, MOST_SAVED_RETRIES, now);
         mRetries = RetryPolicy.create(mRetryBudget, random);
-        mHedging = Hedging.create(HEDGE_SHARE, now);
+        mHedging = Hedging.standard(now);
         mRandom = random;
         mMetrics = metrics;
     }
--- a/measure/src/main/java/org/ibisstand/measure/EntryModel.java
+++ b/measure/src/main/java/org/ibisstand/measure/EntryModel.java
@@ -24,7 +24,6 @@
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRIES_PER_SECOND = 1;
     private static final double MAXIMUM_RETRIES_SAVED = 20;
-    private static final double HEDGE_SHARE = 0.1;
 
     private final Simulation mSimulation;
     private final Cluster mCluster;
@@ -52,7 +51,7 @@
             RetryBudget budget =
                     RetryBudget.create(RETRY_SHARE, RETRIES_PER_SECOND, MAXIMUM_RETRIES_SAVED, now);
             mRetries = RetryPolicy.create(budget, random.split());
-            mHedging = Hedging.create(HEDGE_SHARE, now);
+            mHedging = Hedging.standard(now);
         }
 
         AgentLoads loads() {
--- a/routing/src/main/java/org/ibisstand/routing/Hedging.java
+++ b/routing/src/main/java/org/ibisstand/routing/Hedging.java
@@ -15,6 +15,7 @@
  * used by any thread.
  */
 public final class Hedging {
+    private static final double STANDARD_SHARE = 0.1;
     private static final double MEDIAN = 0.5;
     private static final double LATE_FACTOR = 1.5;
     private static final double MAXIMUM_SAVED = 10;
@@ -31,6 +32,15 @@
         mBudget = budget;
     }
 
+    /**
+     * Creates hedging with the share that entries use.
+     *
+     * @param now the present
+     */
+    public static Hedging standard(Instant now) {
+        return create(STANDARD_SHARE, now);
+    }
+
     /**
      * Creates hedging that has observed nothing yet and therefore hedges nothing.
      *
