--- a/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
+++ b/routing/src/test/java/org/ibisstand/routing/PlacementTest.java
@@ -145,8 +145,8 @@
     void prefersASoundOfferToOneThatMakesNoSense(double nonsense) {
         for (Offer strange :
                 List.of(
-                        new Offer(1, 3, 0, 1, nonsense, 0, 0),
-                        new Offer(1, 9, nonsense, -1 / nonsense, nonsense, 0, nonsense))) {
+                        new Offer(3, 0, 1, nonsense, 0, 0),
+                        new Offer(9, nonsense, -1 / nonsense, nonsense, 0, nonsense))) {
             Placement.Start start = begin(placement(PlacementPolicy.standard()), 1, 2, 3);
             List<AgentView> asked = ((PlacementStep.Ask) start.step()).agents();
             AgentView faulty = asked.get(0);
