Send a claim again when its leader stepped down before the commit

Cause: a leader that loses its majority answers open claims with OUTCOME_UNKNOWN, and the client gave that to the caller, though another leader would have answered the same claim a moment later.

Ruled out: keeping the claim open at the old leader until the entry is committed or overwritten; a member that was cut off may never learn it.

Change: OUTCOME_UNKNOWN from control is sent again like CONNECTION_LOST, within the same deadline. A repeated claim is safe: it gets the attempt that the first one was bound to, if that was committed.

--- a/wire/src/main/java/org/ibisstand/wire/ControlClient.java
+++ b/wire/src/main/java/org/ibisstand/wire/ControlClient.java
@@ -136,7 +136,12 @@
 
     private static boolean isAboutLeader(ErrorCode code) {
         return switch (code) {
-            case NOT_LEADER, NO_QUORUM, AGENT_UNREACHABLE, CONNECTION_LOST, DEADLINE_EXCEEDED ->
+            case NOT_LEADER,
+                    NO_QUORUM,
+                    OUTCOME_UNKNOWN,
+                    AGENT_UNREACHABLE,
+                    CONNECTION_LOST,
+                    DEADLINE_EXCEEDED ->
                     true;
             default -> false;
         };
