Keep the causes of control's failures in its log

Cause: the log format prints messages alone, so that each event stays one line; three errors of control were logged with an exception beside the message, and the exception was dropped.

Ruled out: a format that prints stack traces, since an event would span several lines.

Change: these events are written by LogLine, which puts the cause and its first frames on the line; a test holds it to one line.

--- a/base/src/test/java/org/ibisstand/base/LogLineTest.java
+++ b/base/src/test/java/org/ibisstand/base/LogLineTest.java
@@ -28,4 +28,15 @@
         assertThat(LogLine.info("x").verdict(verdict).toString())
                 .isEqualTo("event=x verdict=not-run code=OVERLOADED");
     }
+
+    @Test
+    void keepsACauseOnTheLine() {
+        Throwable cause = new IllegalStateException("broken\nin two");
+
+        String line = LogLine.error("x").cause(cause).toString();
+
+        assertThat(line).doesNotContain("\n");
+        assertThat(line).contains("broken\\nin two");
+        assertThat(line).contains("at=org.ibisstand.base.LogLineTest.keepsACauseOnTheLine(");
+    }
 }
--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -21,6 +21,7 @@
 import org.ibisstand.administration.AdministrationServer;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.control.message.ClaimLimits;
 import org.ibisstand.settings.ControlSettings;
@@ -210,7 +211,7 @@
             mParts.watchers().flush();
             rollOut();
         } catch (RuntimeException e) {
-            Logger.error(e, "event=tick_failed member={}", mSettings.member());
+            LogLine.error("tick_failed").with("member", mSettings.member()).cause(e).write();
         }
     }
 
--- a/control/src/main/java/org/ibisstand/control/ControlService.java
+++ b/control/src/main/java/org/ibisstand/control/ControlService.java
@@ -8,12 +8,12 @@
 import java.util.concurrent.Executor;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.wire.Failures;
 import org.ibisstand.wire.FrameHandler;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.AnnounceReply;
 import org.ibisstand.wire.message.Frame;
-import org.tinylog.Logger;
 
 /** Answers the other processes; everything but the receipt of frames is on the control thread. */
 final class ControlService implements FrameHandler {
@@ -102,7 +102,7 @@
         boolean wrapped = thrown instanceof CompletionException && thrown.getCause() != null;
         Throwable cause = wrapped ? thrown.getCause() : thrown;
         if (!(cause instanceof IbisstandException failure)) {
-            Logger.error(cause, "event=request_failed");
+            LogLine.error("request_failed").cause(cause).write();
             return Failures.frameOf(
                     new IbisstandException(ErrorCode.INTERNAL, "control failed on the request"));
         }
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.consensus.ConsensusMember;
 import org.ibisstand.consensus.Entry;
 import org.ibisstand.consensus.EntryContent;
@@ -301,7 +302,11 @@
     }
 
     private void fail(IbisstandException failure) {
-        Logger.error(failure, "event=log_failed member={} code={}", mSelf, failure.code());
+        LogLine.error("log_failed")
+                .with("member", mSelf)
+                .code(failure.code())
+                .cause(failure)
+                .write();
         stop(failure);
     }
 
