Hedge plain calls only and take the measured retry bounds

Cause: the entry hedged short prompts in one time distribution with service calls, and saved 100 retries, while the measured policy hedges plain services and saves 20. Ruled out: a second distribution for prompts (hedging prompts brought nothing in the ablation of docs/slow-servers.md). Change: Call.mayBeHedged; retry bounds 1 a second and 20 saved, as measured. Conclusion: daemon and measurement run the same policy.

--- a/entry/src/main/java/org/ibisstand/entry/Call.java
+++ b/entry/src/main/java/org/ibisstand/entry/Call.java
@@ -38,8 +38,6 @@
         Instant deadline,
         boolean idempotent,
         Optional<String> idempotencyKey) {
-    private static final int SHORT_PROMPT_BYTES = 4096;
-
     /** What a request is for. */
     sealed interface Target {
         /**
@@ -66,12 +64,9 @@
         return !idempotent && idempotencyKey.isPresent();
     }
 
-    /** Returns whether the request is little work, so that a second attempt wastes little. */
-    boolean isShort() {
-        return switch (target) {
-            case Target.Model model -> model.chain().promptBytes() <= SHORT_PROMPT_BYTES;
-            case Target.Service service -> true;
-        };
+    /** Returns whether a second attempt may be sent when the first is late. */
+    boolean mayBeHedged() {
+        return idempotent && target instanceof Target.Service;
     }
 
     /** Returns whether the answer is an event stream. */
--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -207,7 +207,7 @@
     private void hedgeWhenLate() {
         if (!mHedged) {
             mContext.hedging()
-                    .delay(mCall.idempotent(), mCall.isShort(), mContext.now())
+                    .delay(mCall.mayBeHedged(), true, mContext.now())
                     .ifPresent(delay -> after(delay, this::hedge));
         }
     }
--- a/entry/src/main/java/org/ibisstand/entry/FlowContext.java
+++ b/entry/src/main/java/org/ibisstand/entry/FlowContext.java
@@ -27,8 +27,8 @@
     private static final long SHORTEST_BACKOFF_MILLISECONDS = 20;
     private static final long LONGEST_BACKOFF_MILLISECONDS = 400;
     private static final double RETRY_SHARE = 0.1;
-    private static final double RETRIES_PER_SECOND = 5;
-    private static final double MOST_SAVED_RETRIES = 100;
+    private static final double RETRIES_PER_SECOND = 1;
+    private static final double MOST_SAVED_RETRIES = 20;
     private static final int LARGEST_SHIFT = 8;
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
@@ -169,7 +169,7 @@
 
     /** Notes which attempt of a call answers. */
     void answering(Call call, Attempt attempt, boolean second) {
-        if (call.idempotent() && call.isShort()) {
+        if (call.mayBeHedged()) {
             mHedging.observed(Duration.between(attempt.begun(), now()), now());
         }
         if (second) {
