--- a/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.ibisstand.administration.AdministrationRoutes;
 import org.ibisstand.administration.AdministrationServer;
 import org.ibisstand.base.Daemon;
@@ -21,6 +22,7 @@
     private static final long DRAIN_POLL_MILLISECONDS = 20;
 
     private final AgentRuntime mRuntime;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private final WireServer mServer;
     private final HttpBackend mBackend;
     private final ControlClient mControl;
@@ -105,6 +107,9 @@
 
     @Override
     public void close() {
+        if (mClosed.getAndSet(true)) {
+            return;
+        }
         mServer.close();
         mControl.close();
         mAdministration.close();
--- a/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/ibisstand/entry/EntryDaemon.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.ibisstand.administration.AdministrationRoutes;
 import org.ibisstand.administration.AdministrationServer;
@@ -50,6 +51,7 @@
     private static final long DRAIN_POLL_MILLISECONDS = 20;
 
     private final EntrySettings mSettings;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private final EventLoopGroup mTraffic;
     private final EventLoop mControlThread;
     private final Channel mListener;
@@ -175,6 +177,9 @@
 
     @Override
     public void close() {
+        if (mClosed.getAndSet(true)) {
+            return;
+        }
         mListener.close();
         mCallers.close();
         mControl.close();
