Go on probing a backend server that was down for two probes

An agent whose engine was killed and came back after more than two probes stayed down for good, and callers were told that no live agent serves the model. Found with real processes: engine killed at 05:19:59, listening again at 05:20:00, and still NO_AGENT_AVAILABLE two minutes later.

Cause: every probe used the same channel handler, which may be added to one channel only. The second probe failed without a registered channel, closing it threw in the listener, and no further probe was scheduled. Ruled out: the registry and the leader, which had changed before and listed the agent.

Red first: BackendHealthTest, 'channel not registered to an event loop', no change in 10 s. Green after: the initializer serves every probe, and the decision does not depend on closing the channel.

--- a/agent/src/main/java/org/ibisstand/agent/BackendHealth.java
+++ b/agent/src/main/java/org/ibisstand/agent/BackendHealth.java
@@ -1,8 +1,9 @@
 package org.ibisstand.agent;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -49,7 +50,7 @@
                 new Bootstrap()
                         .group(group)
                         .channel(NioSocketChannel.class)
-                        .handler(new ChannelInboundHandlerAdapter());
+                        .handler(new ProbeInitializer());
         InetSocketAddress address = new InetSocketAddress(url.getHost(), url.getPort());
         return new BackendHealth(bootstrap, address, controlThread);
     }
@@ -83,8 +84,10 @@
 
     private void probed(ChannelFuture future) {
         boolean taken = future.isSuccess();
-        future.channel().close();
         mControlThread.execute(() -> probed(taken));
+        if (taken) {
+            future.channel().close();
+        }
     }
 
     private void probed(boolean taken) {
@@ -96,4 +99,10 @@
             probeLater();
         }
     }
+
+    /** Leaves the channel of a probe empty; unlike a plain handler it serves every probe. */
+    private static final class ProbeInitializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {}
+    }
 }
