--- a/entry/src/main/java/org/ibisstand/entry/CallerInitializer.java
+++ b/entry/src/main/java/org/ibisstand/entry/CallerInitializer.java
@@ -50,7 +50,10 @@
                         MAXIMUM_LINE_BYTES,
                         mSettings.limits().maximumHeaderBytes(),
                         MAXIMUM_CHUNK_BYTES);
-        HttpServerUpgradeHandler upgrade = new HttpServerUpgradeHandler(codec, this::upgradeCodec);
+        // A request that offers an upgrade may have a body like any other.
+        HttpServerUpgradeHandler upgrade =
+                new HttpServerUpgradeHandler(
+                        codec, this::upgradeCodec, mSettings.limits().maximumBodyBytes());
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
                 new IdleStateHandler(
--- a/fakes/src/main/java/org/ibisstand/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/ibisstand/fakes/FakeEngine.java
@@ -76,6 +76,14 @@
         mServer.loop().submit(() -> mBoot.scheduler().setFaults(faults)).syncUninterruptibly();
     }
 
+    /** Returns whether a request is being answered. */
+    public boolean isGenerating() {
+        return mServer.loop()
+                .submit(() -> mBoot.scheduler().counts().running() > 0)
+                .syncUninterruptibly()
+                .getNow();
+    }
+
     /** Closes all connections and comes back with an empty cache and a new boot. */
     public void crash() {
         mServer.loop().submit(this::reboot).syncUninterruptibly();
