Watch connections between control members for silence at all times

Ruled out: timing all connections again (600 idle ones cost an entry 1,200 timers a second). Change: a connection can be watched without a request; members watch theirs. A test pins it.

--- a/control/src/main/java/org/ibisstand/control/MemberConnections.java
+++ b/control/src/main/java/org/ibisstand/control/MemberConnections.java
@@ -83,12 +83,8 @@
 
     private WireClient connect(String text) {
         Address address = Address.parse(text);
-        FrameHandler handler =
-                (connection, frame) ->
-                        mControlThread.execute(
-                                () -> mReceiver.accept(connection, frame.getConsensus()));
         InetSocketAddress target = new InetSocketAddress(address.host(), address.port());
-        return WireClient.connect(mContext, target, handler);
+        return WireClient.connect(mContext, target, new Receiver());
     }
 
     private static boolean closeUnless(Set<String> addresses, Map.Entry<String, WireClient> entry) {
@@ -98,4 +94,17 @@
         entry.getValue().close();
         return true;
     }
+
+    /** Takes messages in, and watches connections that carry no requests. */
+    private final class Receiver implements FrameHandler {
+        @Override
+        public void received(WireConnection connection, Frame frame) {
+            mControlThread.execute(() -> mReceiver.accept(connection, frame.getConsensus()));
+        }
+
+        @Override
+        public void opened(WireConnection connection) {
+            connection.watch();
+        }
+    }
 }
--- a/wire/src/main/java/org/ibisstand/wire/WireConnection.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireConnection.java
@@ -37,6 +37,7 @@
     private final AtomicLong mLateAnswers = new AtomicLong();
     private volatile Hello mPeer;
     private Runnable mOnWaiting = () -> {};
+    private boolean mWatched;
 
     WireConnection(Channel channel, boolean initiator) {
         mChannel = channel;
@@ -127,6 +128,18 @@
         write(complete(frame, correlation));
     }
 
+    /**
+     * Looks for silence from now on as if a request were always open, for messages that nobody
+     * answers.
+     */
+    public void watch() {
+        runOnEventLoop(
+                () -> {
+                    mWatched = true;
+                    mOnWaiting.run();
+                });
+    }
+
     /** Closes the connection; requests that wait on it fail. */
     public void close() {
         mChannel.close();
@@ -143,7 +156,7 @@
 
     /** Returns whether this side waits for answers; for the event loop only. */
     boolean isWaiting() {
-        return !mWaiting.isEmpty();
+        return mWatched || !mWaiting.isEmpty();
     }
 
     /** Returns whether the frame answered a request of this side, late or not. */
--- a/wire/src/test/java/org/ibisstand/wire/ConnectionTest.java
+++ b/wire/src/test/java/org/ibisstand/wire/ConnectionTest.java
@@ -196,6 +196,14 @@
         assertThat(answer.isCompletedExceptionally()).isTrue();
     }
 
+    @Test
+    void closesAWatchedConnectionThatWentSilentWithoutARequest() {
+        EmbeddedChannel channel = greeted();
+        mOpened.get(0).watch();
+        advance(channel, SILENCE.plus(INTERVAL));
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     @Test
     void keepsAnIdleConnectionOpenAndSendsNothingOverIt() {
         EmbeddedChannel channel = greeted();
