--- a/entry/src/main/java/org/ibisstand/entry/Flow.java
+++ b/entry/src/main/java/org/ibisstand/entry/Flow.java
@@ -8,11 +8,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.base.ErrorCode;
-import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.Verdict;
 import org.ibisstand.routing.AgentView;
 import org.ibisstand.routing.Choice;
@@ -125,7 +123,7 @@
             return;
         }
         if (reply.isEmpty()) {
-            finishWith(unclaimed(failure));
+            finishWith(FlowVerdicts.unclaimed(failure));
             return;
         }
         switch (reply.get().getResult()) {
@@ -152,14 +150,6 @@
         }
     }
 
-    private static Verdict unclaimed(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        ErrorCode code =
-                cause instanceof IbisstandException known ? known.code() : ErrorCode.INTERNAL;
-        return new Verdict.NotRun(
-                code, "the request could not be claimed; resend it with the same key");
-    }
-
     private void submitClaimed(ClaimedAttempt claimed) {
         Optional<AgentView> agent = mContext.state().fleet().find(claimed.agent());
         boolean sameBoot = agent.filter(view -> view.boot().equals(claimed.boot())).isPresent();
@@ -266,7 +256,7 @@
         mLastVerdict = verdict;
         mAnswering = mAnswering.filter(one -> one != attempt);
         if (attempt.isStarted()) {
-            finishWith(asMayHaveRun(verdict));
+            finishWith(FlowVerdicts.cut(verdict));
         } else if (mClaimed.isPresent()) {
             failedClaimed(verdict, connectionLost);
         } else if (mActive.isEmpty()) {
@@ -329,15 +319,6 @@
         }
     }
 
-    private static Verdict asMayHaveRun(Verdict verdict) {
-        return switch (verdict) {
-            case Verdict.NotRun notRun -> new Verdict.MayHaveRun(notRun.code(), notRun.message());
-            case Verdict.MayHaveRun mayHaveRun -> mayHaveRun;
-            case Verdict.Completed completed ->
-                    new Verdict.MayHaveRun(ErrorCode.STREAM_BROKEN, "the answer is not complete");
-        };
-    }
-
     private void finishWith(Verdict verdict) {
         if (!mOver) {
             over();
--- a/entry/src/main/java/org/ibisstand/entry/Submits.java
+++ b/entry/src/main/java/org/ibisstand/entry/Submits.java
@@ -23,6 +23,7 @@
                 Submit.newBuilder()
                         .setRequest(call.request())
                         .setTeam(call.team().name())
+                        .setTeamWeight(call.team().weight())
                         .setMethod(call.method())
                         .setPath(call.path())
                         .addAllHeaders(call.headers())
