--- a/agent/src/main/java/org/ibisstand/agent/Execution.java
+++ b/agent/src/main/java/org/ibisstand/agent/Execution.java
@@ -1,5 +1,6 @@
 package org.ibisstand.agent;
 
+import com.google.protobuf.ByteString;
 import java.io.ByteArrayOutputStream;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -185,8 +186,7 @@
         if (mCollected.size() > maximumBytes) {
             return outcome.setTruncated(true).build();
         }
-        return outcome.setBody(com.google.protobuf.ByteString.copyFrom(mCollected.toByteArray()))
-                .build();
+        return outcome.setBody(ByteString.copyFrom(mCollected.toByteArray())).build();
     }
 
     void outcome(Outcome outcome) {
--- a/agent/src/main/java/org/ibisstand/agent/HttpBackendCall.java
+++ b/agent/src/main/java/org/ibisstand/agent/HttpBackendCall.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
@@ -141,7 +142,7 @@
     }
 
     private static boolean isEndToEnd(Map.Entry<String, String> header) {
-        return !CONNECTION_HEADERS.contains(header.getKey().toLowerCase(java.util.Locale.ROOT));
+        return !CONNECTION_HEADERS.contains(header.getKey().toLowerCase(Locale.ROOT));
     }
 
     private static Header header(Map.Entry<String, String> header) {
--- a/faults/src/test/java/org/ibisstand/faults/LinkProxy.java
+++ b/faults/src/test/java/org/ibisstand/faults/LinkProxy.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -113,7 +114,7 @@
                 .addListener(
                         future -> {
                             if (future.isSuccess()) {
-                                join(caller, ((io.netty.channel.ChannelFuture) future).channel());
+                                join(caller, ((ChannelFuture) future).channel());
                             } else {
                                 caller.close();
                             }
--- a/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
@@ -42,6 +42,8 @@
         mConnection = new WireConnection(channel.channel(), mInitiator);
         mConnection.send(0, Frame.newBuilder().setHello(mContext.hello()));
         mConnection.onWaiting(() -> startTicks(channel));
+        // A stranger that connects and never greets must not stay.
+        startTicks(channel);
     }
 
     @Override
@@ -123,7 +125,7 @@
 
     private void tick(ChannelHandlerContext channel) {
         boolean waiting = mConnection.isWaiting();
-        boolean silent = !mReceivedSinceTick && (waiting || mPeerWaiting);
+        boolean silent = !mReceivedSinceTick && (waiting || mPeerWaiting || !mGreeted);
         mReceivedSinceTick = false;
         mSilentMilliseconds =
                 silent
@@ -136,7 +138,7 @@
             // The last heartbeat tells the peer that nothing is waited for any more.
             mToldWaiting = waiting;
             sendHeartbeat(false);
-        } else if (!mPeerWaiting) {
+        } else if (!mPeerWaiting && mGreeted) {
             // An idle connection costs no timer; the next request starts it again.
             stopTicks();
         }
--- a/wire/src/test/java/org/ibisstand/wire/ConnectionTest.java
+++ b/wire/src/test/java/org/ibisstand/wire/ConnectionTest.java
@@ -196,6 +196,15 @@
         assertThat(answer.isCompletedExceptionally()).isTrue();
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2})
+    void closesAConnectionThatNeverGreets(int bytesSent) {
+        EmbeddedChannel channel = embedded();
+        channel.writeInbound(Unpooled.buffer().writeZero(bytesSent));
+        advance(channel, SILENCE.plus(INTERVAL));
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     @Test
     void closesAWatchedConnectionThatWentSilentWithoutARequest() {
         EmbeddedChannel channel = greeted();
