--- /dev/null
+++ b/agent/src/main/java/org/ibisstand/agent/EngineOffice.java
@@ -0,0 +1,19 @@
+package org.ibisstand.agent;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Speaks to the engine beside this agent, which is the only one that gives it orders. */
+public interface EngineOffice {
+    /** Asks for the present status; fails if the engine does not answer. */
+    CompletableFuture<EngineStatus> status();
+
+    /**
+     * Orders the engine to load weights once its running requests have ended.
+     *
+     * @param model the model
+     * @param version the version to load
+     * @param expectedSequence the number of accepted orders on which this one builds
+     * @return whether the engine accepted the order or holds the weights already
+     */
+    CompletableFuture<Boolean> load(String model, long version, long expectedSequence);
+}
--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -101,6 +101,11 @@
         return mAdministration.port();
     }
 
+    /** Returns what this member serves about routing and backend servers. */
+    public FleetControl fleet() {
+        return mParts.fleet();
+    }
+
     private void open(LogOpener opener) {
         WireContext wire = wireContext();
         InetSocketAddress address =
@@ -160,7 +165,9 @@
                 Watchers.create(state, registry),
                 connections,
                 rollout,
-                Quorum.create(log, mClock));
+                Quorum.create(log, mClock),
+                new FleetControl(
+                        mSettings, mControlThread, state, log, proposals, mClock, wire, address));
     }
 
     private ClaimLimits claimLimits() {
@@ -209,6 +216,7 @@
             mParts.registry().tick(mClock.instant());
             mParts.watchers().confirm(mParts.quorum().confirmed());
             mParts.watchers().flush();
+            mParts.fleet().tick();
             rollOut();
         } catch (RuntimeException e) {
             LogLine.error("tick_failed").with("member", mSettings.member()).cause(e).write();
@@ -257,12 +265,17 @@
         mStopping = true;
         Optional.ofNullable(mAdministration).ifPresent(AdministrationServer::close);
         Optional.ofNullable(mWire).ifPresent(WireServer::close);
-        Optional.ofNullable(mParts).ifPresent(parts -> runOnControlThread(parts.log()::close));
+        Optional.ofNullable(mParts).ifPresent(parts -> runOnControlThread(() -> close(parts)));
         stop(mControlThread);
         mGroup.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
         Logger.info("event=control_stopped member={}", mSettings.member());
     }
 
+    private static void close(ControlParts parts) {
+        parts.fleet().close();
+        parts.log().close();
+    }
+
     private void runOnControlThread(Runnable work) {
         CompletableFuture.runAsync(work, mControlThread).join();
     }
--- a/control/src/main/java/org/ibisstand/control/ControlParts.java
+++ b/control/src/main/java/org/ibisstand/control/ControlParts.java
@@ -12,6 +12,7 @@
  * @param agentConnections how agents are reached
  * @param rollout brings weights to the engines
  * @param quorum whether the member is in touch with a majority
+ * @param fleet routing, weights and the backend servers that announced themselves
  */
 record ControlParts(
         ControlState state,
@@ -22,4 +23,5 @@
         Watchers watchers,
         AgentConnections agentConnections,
         WeightRollout rollout,
-        Quorum quorum) {}
+        Quorum quorum,
+        FleetControl fleet) {}
--- a/control/src/main/java/org/ibisstand/control/ControlService.java
+++ b/control/src/main/java/org/ibisstand/control/ControlService.java
@@ -44,6 +44,7 @@
     private void forget(WireConnection connection) {
         mParts.watchers().closed(connection);
         mParts.agentConnections().closed(connection);
+        mParts.fleet().closed(connection);
     }
 
     private void handle(WireConnection connection, Frame frame) {
@@ -63,6 +64,10 @@
             case RECORD_OUTCOME ->
                     answer(connection, frame, mParts.claims().record(frame.getRecordOutcome()));
             case CONSENSUS -> mParts.log().received(connection, frame.getConsensus());
+            case FLEET_WATCH ->
+                    mParts.fleet().watch(connection, frame.getCorrelation(), frame.getFleetWatch());
+            case SERVER_NOTICE -> mParts.fleet().noticed(frame.getServerNotice());
+            case JOIN_REQUEST -> mParts.fleet().joinRequested(frame.getJoinRequest());
             default ->
                     throw new IbisstandException(
                             ErrorCode.FRAME_INVALID, "control does not serve this message");
--- a/control/src/main/java/org/ibisstand/control/ControlState.java
+++ b/control/src/main/java/org/ibisstand/control/ControlState.java
@@ -23,6 +23,7 @@
     private ConfigurationHistory mConfiguration;
     private ClaimTable mClaims;
     private EngineLoads mLoads;
+    private RoutingHistory mRouting;
     private long mNowMilliseconds;
 
     private ControlState() {
@@ -68,6 +69,8 @@
             case BEGIN_LOAD ->
                     result.setLoad(mLoads.begin(command.getBeginLoad(), mNowMilliseconds));
             case END_LOAD -> result.setLoad(mLoads.end(command.getEndLoad()));
+            case PUT_ROUTING -> result.setRouting(mRouting.put(command.getPutRouting()));
+            case NAME_WEIGHTS -> result.setRouting(mRouting.name(command.getNameWeights()));
             case BODY_NOT_SET ->
                     throw new IbisstandException(
                             ErrorCode.FRAME_INVALID, "the command has no known body");
@@ -90,6 +93,11 @@
         return mConfiguration.json();
     }
 
+    /** Returns the routing configuration and the named weights. */
+    RoutingHistory routing() {
+        return mRouting;
+    }
+
     /** Returns the weight loads that hold a place. */
     Collection<Load> loads() {
         return mLoads.inProgress();
@@ -106,6 +114,7 @@
                 .setConfiguration(mConfiguration.snapshot())
                 .setClaims(mClaims.snapshot())
                 .setLoads(mLoads.snapshot())
+                .setRouting(mRouting.snapshot())
                 .build()
                 .toByteArray();
     }
@@ -127,6 +136,7 @@
         mConfiguration = ConfigurationHistory.restore(configuration);
         mClaims = ClaimTable.restore(claims);
         mLoads = EngineLoads.restore(loads);
+        mRouting = RoutingHistory.restore(snapshot.getRouting());
         mNowMilliseconds = snapshot.getNowMilliseconds();
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -0,0 +1,187 @@
+package org.ibisstand.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
+import org.ibisstand.settings.Address;
+import org.ibisstand.settings.RoutingConfiguration;
+import org.ibisstand.settings.RoutingConfigurationReader;
+import org.ibisstand.wire.AnswerHandler;
+import org.ibisstand.wire.FrameHandler;
+import org.ibisstand.wire.WireClient;
+import org.ibisstand.wire.WireConnection;
+import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.message.FleetUpdate;
+import org.ibisstand.wire.message.FleetWatch;
+import org.ibisstand.wire.message.Frame;
+import org.ibisstand.wire.message.ServerRecord;
+
+/**
+ * Watches all members of control that are known, and keeps one state joined from what they tell.
+ * The version of the routing configuration never goes back, whoever sends it; when no member can be
+ * reached, the last state stays in force.
+ */
+public final class FleetFollower implements AutoCloseable {
+    private final WireContext mContext;
+    private final Executor mControlThread;
+    private final Consumer<FleetState> mListener;
+    private final boolean mIsEntry;
+    private final RoutingConfigurationReader mReader = RoutingConfigurationReader.create();
+    private final Map<String, WireClient> mClients = new HashMap<>();
+    private final Map<WireConnection, FleetUpdate> mUpdates = new HashMap<>();
+    private Set<String> mSeeds = Set.of();
+    private List<ServerRecord> mServers = List.of();
+    private Map<String, Long> mWeights = Map.of();
+    private Optional<RoutingConfiguration> mRouting = Optional.empty();
+
+    /**
+     * Creates a follower that knows no member yet.
+     *
+     * @param context what the connections share
+     * @param controlThread runs all decisions of the follower
+     * @param isEntry whether this process takes requests, and counts among those that do
+     * @param listener receives each new state, on the control thread
+     */
+    public FleetFollower(
+            WireContext context,
+            Executor controlThread,
+            boolean isEntry,
+            Consumer<FleetState> listener) {
+        mContext = context;
+        mControlThread = controlThread;
+        mIsEntry = isEntry;
+        mListener = listener;
+    }
+
+    /** Watches the members at these addresses and all that they name. */
+    public void follow(Collection<String> seeds) {
+        mControlThread.execute(
+                () -> {
+                    mSeeds = Set.copyOf(seeds);
+                    connect();
+                });
+    }
+
+    @Override
+    public void close() {
+        mControlThread.execute(() -> mClients.values().forEach(WireClient::close));
+    }
+
+    private void connect() {
+        Set<String> wanted = new HashSet<>(mSeeds);
+        mUpdates.values().forEach(update -> wanted.addAll(update.getMembersList()));
+        mClients.entrySet().removeIf(client -> closeUnless(wanted, client));
+        wanted.forEach(address -> mClients.computeIfAbsent(address, this::open));
+    }
+
+    private WireClient open(String text) {
+        Address address = Address.parse(text);
+        return WireClient.connect(
+                mContext, new InetSocketAddress(address.host(), address.port()), new Link(text));
+    }
+
+    private static boolean closeUnless(Set<String> wanted, Map.Entry<String, WireClient> client) {
+        boolean leaves = !wanted.contains(client.getKey());
+        if (leaves) {
+            client.getValue().close();
+        }
+        return leaves;
+    }
+
+    private void opened(WireConnection connection, String address) {
+        LogLine.info("control_connected").with("address", address).write();
+        FleetWatch.Builder watch =
+                FleetWatch.newBuilder()
+                        .setProcess(mIsEntry ? mContext.process() : "")
+                        .setRoutingVersion(mRouting.map(RoutingConfiguration::version).orElse(0L));
+        connection.open(Frame.newBuilder().setFleetWatch(watch), new Updates(connection, address));
+    }
+
+    private void lost(WireConnection connection, String address, String reason) {
+        mUpdates.remove(connection);
+        LogLine.warning("control_lost").with("address", address).with("reason", reason).write();
+    }
+
+    private void updated(WireConnection connection, FleetUpdate update) {
+        if (!connection.isOpen()) {
+            return;
+        }
+        takeRouting(update);
+        mUpdates.put(connection, update.toBuilder().clearRouting().build());
+        connect();
+        mServers = FleetMerge.servers(mUpdates.values(), mServers);
+        mWeights = FleetMerge.weights(mUpdates.values(), mWeights);
+        int entries = mUpdates.values().stream().mapToInt(FleetUpdate::getEntries).max().orElse(1);
+        mListener.accept(new FleetState(mRouting, mWeights, mServers, Math.max(1, entries)));
+    }
+
+    private void takeRouting(FleetUpdate update) {
+        long known = mRouting.map(RoutingConfiguration::version).orElse(0L);
+        if (update.getRouting().isEmpty() || update.getRoutingVersion() <= known) {
+            return;
+        }
+        try {
+            mRouting = Optional.of(mReader.read(update.getRouting().toByteArray()));
+            LogLine.info("routing_in_force")
+                    .with("version", update.getRoutingVersion())
+                    .with("before", known)
+                    .write();
+        } catch (IbisstandException e) {
+            LogLine.error("routing_unreadable")
+                    .with("version", update.getRoutingVersion())
+                    .code(e.code())
+                    .cause(e)
+                    .write();
+        }
+    }
+
+    /** Subscribes on each new connection to a member. */
+    private final class Link implements FrameHandler {
+        private final String mAddress;
+
+        Link(String address) {
+            mAddress = address;
+        }
+
+        @Override
+        public void received(WireConnection connection, Frame frame) {
+            // Members send nothing but updates, which answer the watch.
+        }
+
+        @Override
+        public void opened(WireConnection connection) {
+            mControlThread.execute(() -> FleetFollower.this.opened(connection, mAddress));
+        }
+    }
+
+    /** Receives the updates of one member. */
+    private final class Updates implements AnswerHandler {
+        private final WireConnection mConnection;
+        private final String mAddress;
+
+        Updates(WireConnection connection, String address) {
+            mConnection = connection;
+            mAddress = address;
+        }
+
+        @Override
+        public void answered(Frame frame) {
+            mControlThread.execute(() -> updated(mConnection, frame.getFleetUpdate()));
+        }
+
+        @Override
+        public void lost(IbisstandException cause) {
+            mControlThread.execute(
+                    () -> FleetFollower.this.lost(mConnection, mAddress, cause.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -0,0 +1,176 @@
+package org.ibisstand.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Optional;
+
+/** One request at one backend server: reads the answer and says what it proves. */
+final class Attempt implements ExchangeListener {
+    /** Answers of plain calls are held until they are whole; larger ones than this are refused. */
+    private static final int MAXIMUM_ANSWER_BYTES = 8 << 20;
+
+    /** Connections that were idle for longer are not used for requests that may run only once. */
+    private static final long LONGEST_IDLE_MILLISECONDS = 1_000;
+
+    private final Forwarding mForwarding;
+    private final Gateway mGateway;
+    private final BackendServer mServer;
+    private final int mTokens;
+    private Optional<BackendExchanges.Exchange> mExchange = Optional.empty();
+    private Optional<HttpResponse> mHead = Optional.empty();
+    private Optional<StreamRelay> mRelay = Optional.empty();
+    private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+    private boolean mStarted;
+    private boolean mEnded;
+
+    Attempt(Forwarding forwarding, Gateway gateway, BackendServer server, int tokens) {
+        mForwarding = forwarding;
+        mGateway = gateway;
+        mServer = server;
+        mTokens = tokens;
+    }
+
+    void send(FullHttpRequest request, String identifier, boolean isRepeatable) {
+        mServer.sent(mTokens, mGateway.now());
+        long longestIdle = isRepeatable ? Long.MAX_VALUE : LONGEST_IDLE_MILLISECONDS;
+        mExchange =
+                Optional.of(
+                        mGateway.exchanges().send(mServer, request, identifier, longestIdle, this));
+    }
+
+    BackendServer server() {
+        return mServer;
+    }
+
+    boolean isSent() {
+        return mExchange.filter(BackendExchanges.Exchange::isSent).isPresent();
+    }
+
+    boolean hasNoHead() {
+        return mHead.isEmpty() && isSent();
+    }
+
+    void setReading(boolean reading) {
+        mExchange.ifPresent(exchange -> exchange.setReading(reading));
+    }
+
+    void cancel() {
+        mExchange.ifPresent(BackendExchanges.Exchange::cancel);
+    }
+
+    /** Lets go of what the attempt counts at its server. */
+    void end() {
+        if (!mEnded) {
+            mEnded = true;
+            start();
+            mServer.ended();
+            mBody.release();
+            mBody = Unpooled.EMPTY_BUFFER;
+        }
+    }
+
+    @Override
+    public void notSent(String reason) {
+        if (mForwarding.isCurrent(this)) {
+            mServer.failed(mGateway.now());
+            mForwarding.unsent(this, reason);
+        }
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+        if (!mForwarding.isCurrent(this)) {
+            return;
+        }
+        mHead = Optional.of(head);
+        Optional.ofNullable(head.headers().get(mGateway.names().load()))
+                .flatMap(text -> ServerLoad.parse(text, mGateway.now()))
+                .ifPresent(mServer::loadReported);
+        if (isSuccess() && !isSigned()) {
+            mForwarding.attemptFailed(this, "unsigned_answer", true);
+        } else if (isSuccess() && mForwarding.route().isStream()) {
+            mRelay = Optional.of(mForwarding.stream(head));
+        }
+    }
+
+    @Override
+    public void data(ByteBuf data) {
+        if (!mForwarding.isCurrent(this) || mHead.isEmpty()) {
+            return;
+        }
+        start();
+        if (mRelay.isPresent()) {
+            if (!mRelay.get().data(data)) {
+                mForwarding.attemptFailed(this, "overlong_event", true);
+            }
+        } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+            mForwarding.attemptFailed(this, "overlong_answer", true);
+        } else {
+            mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
+            mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
+        }
+    }
+
+    @Override
+    public void finished(boolean framed) {
+        if (!mForwarding.isCurrent(this)) {
+            return;
+        }
+        HttpResponse head = mHead.orElseThrow();
+        if (head.headers().contains(mGateway.names().notExecuted())) {
+            mForwarding.notRun(this, head.status().code());
+        } else if (mRelay.isPresent()) {
+            finishStream();
+        } else {
+            finishWhole(head);
+        }
+    }
+
+    @Override
+    public void broken(String reason) {
+        if (mForwarding.isCurrent(this)) {
+            mForwarding.attemptFailed(this, reason, false);
+        }
+    }
+
+    private void finishStream() {
+        if (mRelay.get().hasPartial()) {
+            mForwarding.attemptFailed(this, "stream_ends_inside_event", false);
+        } else {
+            mServer.succeeded();
+            mForwarding.streamed(this);
+        }
+    }
+
+    private void finishWhole(HttpResponse head) {
+        int status = head.status().code();
+        boolean isServerFailure = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+        if (isServerFailure) {
+            mServer.answeredFailure();
+        } else {
+            mServer.succeeded();
+        }
+        if (isServerFailure && mForwarding.repeatsFailure(this, status)) {
+            return;
+        }
+        mForwarding.answered(this, head, mBody.retainedDuplicate());
+    }
+
+    private boolean isSuccess() {
+        return mHead.get().status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
+    private boolean isSigned() {
+        return mHead.get().headers().contains(mGateway.names().signature());
+    }
+
+    private void start() {
+        if (!mStarted) {
+            mStarted = true;
+            mServer.started(mTokens);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
@@ -0,0 +1,89 @@
+package org.ibisstand.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts the bytes of an event stream at the ends of whole events, so that a caller never gets a part
+ * of an event that another backend server sends again.
+ */
+final class EventSplitter {
+    private static final String IDENTIFIER_FIELD = "id:";
+
+    private final int mMaximumEventBytes;
+    private ByteBuf mPartial = Unpooled.EMPTY_BUFFER;
+    private Optional<String> mLastIdentifier = Optional.empty();
+
+    EventSplitter(int maximumEventBytes) {
+        mMaximumEventBytes = maximumEventBytes;
+    }
+
+    /** Returns the identifier of the last whole event. */
+    Optional<String> lastIdentifier() {
+        return mLastIdentifier;
+    }
+
+    /**
+     * Takes bytes and returns all whole events that stand complete now; the receiver releases them.
+     *
+     * @param bytes the next bytes of the stream, which stay the sender's
+     * @return empty bytes while no event is complete
+     */
+    ByteBuf take(ByteBuf bytes) {
+        ByteBuf joined = Unpooled.buffer(mPartial.readableBytes() + bytes.readableBytes());
+        joined.writeBytes(mPartial);
+        joined.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        int end = endOfLastEvent(joined);
+        if (end == 0) {
+            mPartial = joined;
+            return Unpooled.EMPTY_BUFFER;
+        }
+        noteIdentifier(joined, end);
+        mPartial = joined.copy(end, joined.readableBytes() - end);
+        return joined.slice(0, end);
+    }
+
+    /** Returns whether bytes of an unfinished event are held. */
+    boolean hasPartial() {
+        return mPartial.isReadable();
+    }
+
+    /** Returns whether an unfinished event is longer than any event may be. */
+    boolean isOverlong() {
+        return mPartial.readableBytes() > mMaximumEventBytes;
+    }
+
+    /** Drops an unfinished event, whose rest will not come. */
+    void dropPartial() {
+        mPartial = Unpooled.EMPTY_BUFFER;
+    }
+
+    /** Returns the index behind the last blank line. */
+    private static int endOfLastEvent(ByteBuf bytes) {
+        for (int index = bytes.readableBytes() - 1; index > 0; index--) {
+            if (bytes.getByte(index) == '\n' && isBlankBefore(bytes, index)) {
+                return index + 1;
+            }
+        }
+        return 0;
+    }
+
+    private static boolean isBlankBefore(ByteBuf bytes, int newline) {
+        byte before = bytes.getByte(newline - 1);
+        return before == '\n'
+                || (before == '\r' && newline > 1 && bytes.getByte(newline - 2) == '\n');
+    }
+
+    private void noteIdentifier(ByteBuf bytes, int end) {
+        String text = bytes.toString(0, end, StandardCharsets.UTF_8);
+        int found = text.lastIndexOf("\n" + IDENTIFIER_FIELD);
+        int from = found >= 0 ? found + 1 : text.startsWith(IDENTIFIER_FIELD) ? 0 : -1;
+        if (from >= 0) {
+            int lineEnd = text.indexOf('\n', from);
+            mLastIdentifier =
+                    Optional.of(text.substring(from + IDENTIFIER_FIELD.length(), lineEnd).strip());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -0,0 +1,212 @@
+package org.ibisstand.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.base.ErrorCode;
+import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
+import org.ibisstand.fleet.FleetFollower;
+import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.WireSettings;
+
+/** One gateway: its server for callers and what it follows of control, until closed. */
+public final class GatewayDaemon implements AutoCloseable {
+    private static final int BACKLOG_CONNECTIONS = 1024;
+    private static final int MAXIMUM_LINE_BYTES = 8_192;
+    private static final int MAXIMUM_HEADER_BYTES = 16_384;
+    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+
+    /** A caller that reads slowly holds at most this much of an answer in memory. */
+    private static final int HIGH_WATER_BYTES = 128 << 10;
+
+    private static final int LOW_WATER_BYTES = 32 << 10;
+
+    /** Between looks at idle and slow connections; short against their limits of seconds. */
+    private static final long SWEEP_MILLISECONDS = 250;
+
+    private static final long STOP_SECONDS = 1;
+
+    private final GatewaySettings mSettings;
+    private final EventLoopGroup mGroup;
+    private final ExecutorService mControlThread;
+    private final FleetFollower mFollower;
+    private final Gateway mGateway;
+    private final Channel mServer;
+
+    private GatewayDaemon(
+            GatewaySettings settings,
+            ForwardingHeaders names,
+            PromptReader prompts,
+            Clock clock,
+            MetricRegistry metrics) {
+        mSettings = settings;
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mControlThread = Executors.newSingleThreadExecutor(task -> new Thread(task, "control"));
+        EventLoop loop = mGroup.next();
+        mGateway =
+                new Gateway(settings, names, prompts, loop, clock, new SplittableRandom(), metrics);
+        WireContext wire =
+                new WireContext(
+                        mGroup,
+                        WireSettings.standard(),
+                        settings.process(),
+                        "entry",
+                        BootIdentifier.create(),
+                        new SecureRandom());
+        mFollower =
+                new FleetFollower(
+                        wire,
+                        mControlThread,
+                        true,
+                        state -> loop.execute(() -> mGateway.update(state)));
+        mServer = listen();
+        loop.scheduleWithFixedDelay(
+                this::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mFollower.follow(settings.control());
+    }
+
+    /**
+     * Starts a gateway and returns once it listens.
+     *
+     * @param settings of the gateway
+     * @param names of the headers
+     * @param prompts reads what callers say of their prompts
+     * @param clock must not jump
+     * @param metrics receives counts and times
+     * @throws IbisstandException with PORT_IN_USE if the address cannot be bound
+     */
+    public static GatewayDaemon start(
+            GatewaySettings settings,
+            ForwardingHeaders names,
+            PromptReader prompts,
+            Clock clock,
+            MetricRegistry metrics) {
+        GatewayDaemon daemon = new GatewayDaemon(settings, names, prompts, clock, metrics);
+        LogLine.info("gateway_started")
+                .with("callers", settings.callers())
+                .with("control", settings.control())
+                .write();
+        return daemon;
+    }
+
+    /** Returns whether new connections should be sent here. */
+    public boolean isReady() {
+        return mGateway.isServing() && !mGateway.isDraining();
+    }
+
+    /** Follows other members of control from now on. */
+    public void follow(Collection<String> control) {
+        mFollower.follow(control);
+    }
+
+    /**
+     * Stops: is not ready any more, answers what it has, and completes once no connection is left
+     * or the time of the settings is over.
+     */
+    public CompletableFuture<Void> drain() {
+        LogLine.info("gateway_drains").with("milliseconds", mSettings.stopMilliseconds()).write();
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mGateway.drain();
+        mGroup.next()
+                .schedule(this::closeIdle, mSettings.stopMilliseconds() / 2, TimeUnit.MILLISECONDS);
+        mGroup.next()
+                .schedule(
+                        () -> done.complete(null),
+                        mSettings.stopMilliseconds(),
+                        TimeUnit.MILLISECONDS);
+        mGroup.next()
+                .scheduleWithFixedDelay(
+                        () -> completeIfIdle(done),
+                        mSettings.stopMilliseconds() / 2 + SWEEP_MILLISECONDS,
+                        SWEEP_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
+        return done;
+    }
+
+    @Override
+    public void close() {
+        mServer.close().awaitUninterruptibly();
+        mFollower.close();
+        mControlThread.shutdown();
+        mGroup.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+        LogLine.info("gateway_stopped").with("process", mSettings.process()).write();
+    }
+
+    private void closeIdle() {
+        List.copyOf(mGateway.callers()).forEach(CallerHandler::closeWhenIdle);
+    }
+
+    private void completeIfIdle(CompletableFuture<Void> done) {
+        if (mGateway.callers().isEmpty()) {
+            done.complete(null);
+        }
+    }
+
+    private void sweep() {
+        mGateway.table()
+                .map(RouteTable::limits)
+                .ifPresent(
+                        limits ->
+                                List.copyOf(mGateway.callers())
+                                        .forEach(caller -> caller.checkTimes(limits)));
+    }
+
+    private Channel listen() {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+                        .childHandler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpServerCodec(
+                                                                MAXIMUM_LINE_BYTES,
+                                                                MAXIMUM_HEADER_BYTES,
+                                                                MAXIMUM_CHUNK_BYTES))
+                                                .addLast(new CallerHandler(mGateway));
+                                    }
+                                });
+        ChannelFuture bound =
+                bootstrap
+                        .bind(mSettings.callers().host(), mSettings.callers().port())
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            mGroup.shutdownGracefully();
+            throw new IbisstandException(
+                    ErrorCode.PORT_IN_USE,
+                    "cannot listen on " + mSettings.callers(),
+                    bound.cause());
+        }
+        return bound.channel();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ibisstand/gateway/RouteTable.java
@@ -0,0 +1,88 @@
+package org.ibisstand.gateway;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.ibisstand.settings.Route;
+import org.ibisstand.settings.RoutedService;
+import org.ibisstand.settings.RoutingConfiguration;
+import org.ibisstand.settings.RoutingConfiguration.TeamKeys;
+
+/** A routing configuration prepared for look-ups; never changes. */
+final class RouteTable {
+    private final RoutingConfiguration mConfiguration;
+    private final Map<String, Map<String, Route>> mRoutes = new HashMap<>();
+    private final Map<String, TeamKeys> mTeamOfKey = new HashMap<>();
+    private final Map<String, RoutedService> mServices = new HashMap<>();
+
+    private RouteTable(RoutingConfiguration configuration) {
+        mConfiguration = configuration;
+        for (Route route : configuration.routes()) {
+            mRoutes.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+                    .put(route.pathPrefix(), route);
+        }
+        configuration
+                .teams()
+                .ifPresent(
+                        teams ->
+                                teams.forEach(
+                                        team ->
+                                                team.keys()
+                                                        .forEach(
+                                                                key -> mTeamOfKey.put(key, team))));
+        configuration.services().forEach(service -> mServices.put(service.name(), service));
+    }
+
+    static RouteTable of(RoutingConfiguration configuration) {
+        return new RouteTable(configuration);
+    }
+
+    long version() {
+        return mConfiguration.version();
+    }
+
+    RoutingConfiguration.CallerLimits limits() {
+        return mConfiguration.callerLimits();
+    }
+
+    /** Returns whether callers of routes that are not open need a key. */
+    boolean needsKeys() {
+        return mConfiguration.teams().isPresent();
+    }
+
+    Optional<TeamKeys> teamOfKey(String key) {
+        return Optional.ofNullable(mTeamOfKey.get(key));
+    }
+
+    Optional<RoutedService> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /**
+     * Returns the route with the longest prefix that begins the path.
+     *
+     * @param host as the caller named it, perhaps with a port
+     * @param path without its query
+     */
+    Optional<Route> find(String host, String path) {
+        Map<String, Route> routes = mRoutes.get(withoutPort(host).toLowerCase(Locale.ROOT));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        int slash = path.lastIndexOf('/');
+        while (slash >= 0) {
+            Route route = routes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            slash = path.lastIndexOf('/', slash - 1);
+        }
+        return Optional.empty();
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    }
+}
--- a/settings/src/main/java/org/ibisstand/settings/JsonReader.java
+++ b/settings/src/main/java/org/ibisstand/settings/JsonReader.java
@@ -102,6 +102,19 @@
         }
     }
 
+    /**
+     * Writes a value without line breaks, for other processes.
+     *
+     * @param value what to write
+     */
+    public byte[] writeCompact(Object value) {
+        try {
+            return mMapper.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IbisstandException(ErrorCode.INTERNAL, "cannot write JSON", e);
+        }
+    }
+
     static String keyOf(RecordComponent component) {
         return KEYS.translate(component.getName());
     }
