Ask agents what engines hold, load weights in turn, and keep shared parts in the store

Change: agents follow cache events and answer entries; notices tell who loads; the store keeps and gives shared parts; weights are expected by version, so that a part is never used under others.

--- a/agent/src/main/java/org/ibisstand/agent/EngineOffice.java
+++ b/agent/src/main/java/org/ibisstand/agent/EngineOffice.java
@@ -16,4 +16,11 @@
      * @return whether the engine accepted the order or holds the weights already
      */
     CompletableFuture<Boolean> load(String model, long version, long expectedSequence);
+
+    /**
+     * Asks what changed in the engine's cache; answered once something has, or after a while.
+     *
+     * @param since as the last answer said; zero at first
+     */
+    CompletableFuture<CacheEvents> events(long since);
 }
--- a/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
@@ -1,6 +1,7 @@
 package org.ibisstand.agent;
 
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.Collection;
@@ -10,27 +11,39 @@
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.fleet.FleetFollower;
+import org.ibisstand.settings.Address;
 import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.WireServer;
 import org.ibisstand.wire.WireSettings;
+import org.ibisstand.wire.message.EngineNotice;
 
 /**
- * An agent that keeps the weights of the engine on its VM up to date while requests reach the
- * engine without it.
+ * An agent that keeps the weights of the engine on its VM up to date and answers what entries ask
+ * about its cache, while requests reach the engine without it.
  */
 public final class WeightsDaemon implements AutoCloseable {
-    /** Between looks at the engine; a quarter of a load of weights. */
-    private static final long TICK_MILLISECONDS = 150;
+    /** Between looks at the engine, which answers its own VM at once. */
+    private static final long TICK_MILLISECONDS = 100;
 
     private final ScheduledExecutorService mControlThread;
     private final FleetFollower mFollower;
+    private final WireServer mServer;
     private final String mProcess;
 
     private WeightsDaemon(
-            String process, EventLoopGroup group, EngineOffice office, String engine, Clock clock) {
+            String process,
+            EventLoopGroup group,
+            EngineOffice office,
+            String engine,
+            Clock clock,
+            Address listen) {
         mProcess = process;
         mControlThread =
                 Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
-        WeightsKeeper keeper = new WeightsKeeper(office, engine, clock, mControlThread);
+        WeightsKeeper keeper =
+                new WeightsKeeper(
+                        office, engine, clock, mControlThread, listen.toString(), this::tell);
+        PartFollower parts = new PartFollower(office, clock, mControlThread);
         WireContext wire =
                 new WireContext(
                         group,
@@ -39,9 +52,17 @@
                         "agent",
                         BootIdentifier.create(),
                         new SecureRandom());
-        mFollower = new FleetFollower(wire, mControlThread, false, keeper::update);
+        mServer =
+                WireServer.start(
+                        wire,
+                        new InetSocketAddress(listen.host(), listen.port()),
+                        new PartAnswers(parts, keeper, mControlThread));
+        mFollower = new FleetFollower(wire, mControlThread, false, keeper::update, keeper::noticed);
         mControlThread.scheduleWithFixedDelay(
-                () -> tick(keeper), TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+                () -> tick(keeper, parts),
+                TICK_MILLISECONDS,
+                TICK_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -52,6 +73,7 @@
      * @param office speaks to the engine
      * @param engine host and port where the engine takes requests
      * @param clock must not jump
+     * @param listen where entries ask about the engine
      * @param control wire addresses of members of control
      */
     public static WeightsDaemon start(
@@ -60,8 +82,9 @@
             EngineOffice office,
             String engine,
             Clock clock,
+            Address listen,
             Collection<String> control) {
-        WeightsDaemon daemon = new WeightsDaemon(process, group, office, engine, clock);
+        WeightsDaemon daemon = new WeightsDaemon(process, group, office, engine, clock, listen);
         daemon.follow(control);
         LogLine.info("agent_started").with("engine", engine).with("control", control).write();
         return daemon;
@@ -74,14 +97,20 @@
 
     @Override
     public void close() {
+        mServer.close();
         mFollower.close();
         mControlThread.shutdown();
         LogLine.info("agent_stopped").with("process", mProcess).write();
     }
 
-    private static void tick(WeightsKeeper keeper) {
+    private void tell(EngineNotice notice) {
+        mFollower.tell(notice);
+    }
+
+    private static void tick(WeightsKeeper keeper, PartFollower parts) {
         try {
             keeper.tick();
+            parts.tick();
         } catch (RuntimeException e) {
             LogLine.error("tick_failed").cause(e).write();
         }
--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -6,30 +6,54 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.fleet.FleetState;
+import org.ibisstand.wire.message.EngineNotice;
+import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
 
 /**
- * Brings the engine beside this agent to the newest named weights; on the agent's control thread.
+ * Brings the engine beside this agent to the newest named weights, and tells entries how the engine
+ * is; on the agent's control thread.
  *
- * <p>Every order builds on the number of orders that the engine has accepted, so that a delayed one
- * is not carried out after a newer one. Weights that are overtaken before their turn are skipped.
+ * <p>Entries are told before an order, so that requests go elsewhere instead of being refused.
+ * Every order builds on the number of orders that the engine has accepted, so that a delayed one is
+ * not carried out after a newer one. Weights that are overtaken before their turn are skipped.
  */
 final class WeightsKeeper {
     /** The longest wait for an engine's answer before it is asked again. */
     private static final Duration PATIENCE = Duration.ofSeconds(2);
 
+    /** The way of a notice to all entries, through a member of control. */
+    private static final Duration NOTICE_TIME = Duration.ofMillis(60);
+
+    /** The longest wait for requests that were queued before the notice. */
+    private static final Duration QUEUE_TIME = Duration.ofMillis(400);
+
+    /** Notices are repeated for entries and members that have restarted. */
+    private static final Duration REPETITION = Duration.ofSeconds(1);
+
     private final EngineOffice mOffice;
     private final String mAddress;
+    private final String mAgent;
     private final Clock mClock;
     private final Executor mControlThread;
+    private final Consumer<EngineNotice> mNotices;
     private final Map<String, Long> mNamed = new HashMap<>();
-    private final Map<String, Instant> mNamedAt = new HashMap<>();
+    private final Map<String, NavigableMap<Long, Instant>> mNamedAt = new HashMap<>();
+    private final Map<String, EngineNotice> mOthers = new HashMap<>();
     private List<ServerRecord> mServers = List.of();
+    private Optional<EngineStatus> mStatus = Optional.empty();
     private Optional<Instant> mAskedAt = Optional.empty();
+    private Optional<Instant> mPreparedAt = Optional.empty();
+    private Optional<EngineNotice> mTold = Optional.empty();
+    private Instant mToldAt = Instant.MIN;
+    private long mSequence;
     private boolean mIsReachable = true;
 
     /**
@@ -39,23 +63,35 @@
      * @param address where the engine takes requests, which tells its record from others
      * @param clock must not jump
      * @param controlThread the thread of this keeper
+     * @param agent where this agent answers questions about the engine
+     * @param notices receives what entries should know of the engine
      */
-    WeightsKeeper(EngineOffice office, String address, Clock clock, Executor controlThread) {
+    WeightsKeeper(
+            EngineOffice office,
+            String address,
+            Clock clock,
+            Executor controlThread,
+            String agent,
+            Consumer<EngineNotice> notices) {
+        mAgent = agent;
         mOffice = office;
         mAddress = address;
         mClock = clock;
         mControlThread = controlThread;
+        mNotices = notices;
     }
 
     /** Takes what control tells. */
     void update(FleetState state) {
         mServers = state.servers();
+        mOthers.keySet().retainAll(mServers.stream().map(ServerRecord::getAddress).toList());
         state.weights()
                 .forEach(
                         (model, version) -> {
                             if (version > mNamed.getOrDefault(model, 0L)) {
                                 mNamed.put(model, version);
-                                mNamedAt.put(model, mClock.instant());
+                                mNamedAt.computeIfAbsent(model, one -> new TreeMap<>())
+                                        .put(version, mClock.instant());
                                 LogLine.info("weights_named")
                                         .with("model", model)
                                         .with("version", version)
@@ -64,15 +100,19 @@
                         });
     }
 
+    /** Takes what other agents say of their engines. */
+    void noticed(EngineNotices notices) {
+        notices.getEnginesList().forEach(notice -> mOthers.put(notice.getAddress(), notice));
+    }
+
     /** Asks the engine for its status, unless an answer is still due. */
     void tick() {
         Instant now = mClock.instant();
         boolean isWaiting = mAskedAt.filter(at -> at.plus(PATIENCE).isAfter(now)).isPresent();
-        if (isWaiting || mNamed.isEmpty()) {
-            return;
+        if (!isWaiting) {
+            mAskedAt = Optional.of(now);
+            mOffice.status().whenCompleteAsync(this::answered, mControlThread);
         }
-        mAskedAt = Optional.of(now);
-        mOffice.status().whenCompleteAsync(this::answered, mControlThread);
     }
 
     private void answered(EngineStatus status, Throwable failure) {
@@ -84,12 +124,59 @@
                     .with("reason", failure == null ? "" : failure.getMessage())
                     .write();
         }
-        if (failure == null && !status.loading()) {
-            mNamed.keySet().stream()
-                    .filter(model -> isDue(model, status))
-                    .findFirst()
-                    .ifPresent(model -> order(model, status));
+        if (failure != null) {
+            mPreparedAt = Optional.empty();
+            return;
         }
+        Optional<String> due =
+                mNamed.keySet().stream().filter(model -> isDue(model, status)).findFirst();
+        if (due.isPresent() && mPreparedAt.isEmpty()) {
+            mPreparedAt = Optional.of(mClock.instant());
+        } else if (due.isEmpty() && !status.loading()) {
+            mPreparedAt = Optional.empty();
+        }
+        mStatus = Optional.of(status);
+        tell(status);
+        if (due.isPresent() && isPrepared(status)) {
+            order(due.get(), status);
+        }
+    }
+
+    /** Returns the last status of the engine. */
+    Optional<EngineStatus> status() {
+        return mStatus;
+    }
+
+    private boolean isPrepared(EngineStatus status) {
+        if (status.loading() || mPreparedAt.isEmpty()) {
+            return false;
+        }
+        Duration since = Duration.between(mPreparedAt.get(), mClock.instant());
+        boolean isEmpty = status.waiting() == 0 && since.compareTo(NOTICE_TIME) >= 0;
+        return isEmpty || since.compareTo(QUEUE_TIME) >= 0;
+    }
+
+    private void tell(EngineStatus status) {
+        EngineNotice notice =
+                EngineNotice.newBuilder()
+                        .setAddress(mAddress)
+                        .setAgent(mAgent)
+                        .setLoading(status.loading() || mPreparedAt.isPresent())
+                        .putAllWeights(status.weights())
+                        .setRunning(status.running())
+                        .setWaiting(status.waiting())
+                        .setUsedTokens(status.usedTokens())
+                        .setCapacityTokens(status.capacityTokens())
+                        .build();
+        Instant now = mClock.instant();
+        boolean isSame = mTold.filter(notice::equals).isPresent();
+        if (isSame && mToldAt.plus(REPETITION).isAfter(now)) {
+            return;
+        }
+        mTold = Optional.of(notice);
+        mToldAt = now;
+        mSequence++;
+        mNotices.accept(notice.toBuilder().setSequence(mSequence).build());
     }
 
     private boolean isDue(String model, EngineStatus status) {
@@ -102,13 +189,38 @@
         if (self.isEmpty()) {
             return true;
         }
-        List<String> engines =
+        List<ServerRecord> engines =
                 mServers.stream()
                         .filter(one -> one.getService().equals(self.get().getService()))
-                        .map(ServerRecord::getServer)
                         .toList();
-        Duration delay = LoadTurn.delay(self.get().getServer(), engines);
-        return !mNamedAt.get(model).plus(delay).isAfter(mClock.instant());
+        List<LoadTurn.Engine> others =
+                engines.stream()
+                        .map(
+                                one ->
+                                        new LoadTurn.Engine(
+                                                one.getServer(),
+                                                versionOf(one, model),
+                                                isLoading(one)))
+                        .toList();
+        Instant lackingSince = mNamedAt.get(model).higherEntry(loaded).getValue();
+        return LoadTurn.isNow(
+                self.get().getServer(),
+                others,
+                mNamed.get(model),
+                Duration.between(lackingSince, mClock.instant()));
+    }
+
+    private boolean isLoading(ServerRecord engine) {
+        return mOthers.getOrDefault(engine.getAddress(), EngineNotice.getDefaultInstance())
+                .getLoading();
+    }
+
+    /** Other agents tell of their engines sooner than the engines do. */
+    private long versionOf(ServerRecord engine, String model) {
+        EngineNotice notice =
+                mOthers.getOrDefault(engine.getAddress(), EngineNotice.getDefaultInstance());
+        long told = notice.getWeightsOrDefault(model, 0);
+        return Math.max(told, engine.getWeightsOrDefault(model, 0));
     }
 
     private void order(String model, EngineStatus status) {
--- a/control/src/main/java/org/ibisstand/control/ControlService.java
+++ b/control/src/main/java/org/ibisstand/control/ControlService.java
@@ -67,6 +67,7 @@
             case FLEET_WATCH ->
                     mParts.fleet().watch(connection, frame.getCorrelation(), frame.getFleetWatch());
             case SERVER_NOTICE -> mParts.fleet().noticed(frame.getServerNotice());
+            case ENGINE_NOTICES -> mParts.fleet().engines(frame.getEngineNotices());
             case JOIN_REQUEST -> mParts.fleet().joinRequested(frame.getJoinRequest());
             default ->
                     throw new IbisstandException(
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -4,8 +4,10 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +20,8 @@
 import org.ibisstand.settings.ControlSettings;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.message.EngineNotice;
+import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.FleetWatch;
 import org.ibisstand.wire.message.JoinRequest;
 import org.ibisstand.wire.message.ServerNotice;
@@ -45,6 +49,8 @@
     private final FleetWatchers mWatchers;
     private final FleetPeers mPeers;
     private final String mAddress;
+    private final Map<String, EngineNotice> mEngines = new HashMap<>();
+    private final Set<String> mLoading = new HashSet<>();
     private final Set<String> mJoining = new HashSet<>();
     private Instant mNextJoin;
     private long mLoggedVersion;
@@ -152,6 +158,30 @@
         mWatchers.closed(connection);
     }
 
+    /** Passes on what agents say of their engines, gathered for a tick unless it is urgent. */
+    void engines(EngineNotices notices) {
+        boolean isUrgent = false;
+        for (EngineNotice notice : notices.getEnginesList()) {
+            mEngines.put(notice.getAddress(), notice);
+            isUrgent |= notice.getLoading() != mLoading.contains(notice.getAddress());
+            if (notice.getLoading()) {
+                mLoading.add(notice.getAddress());
+            } else {
+                mLoading.remove(notice.getAddress());
+            }
+        }
+        if (isUrgent) {
+            tellEngines();
+        }
+    }
+
+    private void tellEngines() {
+        if (!mEngines.isEmpty()) {
+            mWatchers.tell(EngineNotices.newBuilder().addAllEngines(mEngines.values()).build());
+            mEngines.clear();
+        }
+    }
+
     void noticed(ServerNotice notice) {
         notice.getServersList().forEach(record -> take(record, false));
     }
@@ -195,6 +225,7 @@
             LogLine.info("routing_in_force").with("version", mLoggedVersion).write();
         }
         mWatchers.flush();
+        tellEngines();
     }
 
     void close() {
--- a/control/src/main/java/org/ibisstand/control/FleetWatchers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetWatchers.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.ibisstand.wire.WireConnection;
+import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.FleetUpdate;
 import org.ibisstand.wire.message.FleetWatch;
 import org.ibisstand.wire.message.Frame;
@@ -77,6 +78,18 @@
                 });
     }
 
+    /** Passes the state of engines on to all watchers; one that reads slowly misses it. */
+    void tell(EngineNotices notices) {
+        mWatchers.forEach(
+                (connection, position) -> {
+                    if (connection.isWritable()) {
+                        connection.send(
+                                position.correlation(),
+                                Frame.newBuilder().setEngineNotices(notices));
+                    }
+                });
+    }
+
     private void send(WireConnection connection, Position before, Position now) {
         FleetUpdate.Builder update =
                 FleetUpdate.newBuilder()
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,8 @@
 import org.ibisstand.wire.WireClient;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.message.EngineNotice;
+import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.FleetUpdate;
 import org.ibisstand.wire.message.FleetWatch;
 import org.ibisstand.wire.message.Frame;
@@ -31,13 +34,21 @@
  * reached, the last state stays in force.
  */
 public final class FleetFollower implements AutoCloseable {
+    /**
+     * Entries that are taken to share budgets until more are known; counts go up only, since a
+     * member that restarted knows a part of the entries.
+     */
+    private static final int INITIAL_ENTRIES = 8;
+
     private final WireContext mContext;
     private final Executor mControlThread;
     private final Consumer<FleetState> mListener;
+    private final Consumer<EngineNotices> mEngineListener;
     private final boolean mIsEntry;
     private final RoutingConfigurationReader mReader = RoutingConfigurationReader.create();
     private final Map<String, WireClient> mClients = new HashMap<>();
     private final Map<WireConnection, FleetUpdate> mUpdates = new HashMap<>();
+    private int mEntries = INITIAL_ENTRIES;
     private Set<String> mSeeds = Set.of();
     private List<ServerRecord> mServers = List.of();
     private Map<String, Long> mWeights = Map.of();
@@ -50,16 +61,19 @@
      * @param controlThread runs all decisions of the follower
      * @param isEntry whether this process takes requests, and counts among those that do
      * @param listener receives each new state, on the control thread
+     * @param engineListener receives the state of engines as agents tell it, on the control thread
      */
     public FleetFollower(
             WireContext context,
             Executor controlThread,
             boolean isEntry,
-            Consumer<FleetState> listener) {
+            Consumer<FleetState> listener,
+            Consumer<EngineNotices> engineListener) {
         mContext = context;
         mControlThread = controlThread;
         mIsEntry = isEntry;
         mListener = listener;
+        mEngineListener = engineListener;
     }
 
     /** Watches the members at these addresses and all that they name. */
@@ -71,6 +85,22 @@
                 });
     }
 
+    /** Tells all entries about an engine, through the first member that can be reached. */
+    public void tell(EngineNotice notice) {
+        mControlThread.execute(
+                () ->
+                        mUpdates.keySet().stream()
+                                .filter(one -> one.isOpen() && one.isWritable())
+                                .min(Comparator.comparing(one -> one.remoteAddress().toString()))
+                                .ifPresent(connection -> send(connection, notice)));
+    }
+
+    private static void send(WireConnection connection, EngineNotice notice) {
+        connection.send(
+                0,
+                Frame.newBuilder().setEngineNotices(EngineNotices.newBuilder().addEngines(notice)));
+    }
+
     @Override
     public void close() {
         mControlThread.execute(() -> mClients.values().forEach(WireClient::close));
@@ -175,7 +205,11 @@
 
         @Override
         public void answered(Frame frame) {
-            mControlThread.execute(() -> updated(mConnection, frame.getFleetUpdate()));
+            if (frame.hasEngineNotices()) {
+                mControlThread.execute(() -> mEngineListener.accept(frame.getEngineNotices()));
+            } else {
+                mControlThread.execute(() -> updated(mConnection, frame.getFleetUpdate()));
+            }
         }
 
         @Override
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 
@@ -34,7 +35,7 @@
     }
 
     void send(FullHttpRequest request, String identifier, boolean isRepeatable) {
-        mServer.sent(mTokens, mGateway.now());
+        mServer.sent(this, mTokens, mGateway.now());
         long longestIdle = isRepeatable ? Long.MAX_VALUE : LONGEST_IDLE_MILLISECONDS;
         mExchange =
                 Optional.of(
@@ -66,12 +67,19 @@
         if (!mEnded) {
             mEnded = true;
             start();
-            mServer.ended();
+            mServer.ended(this);
             mBody.release();
             mBody = Unpooled.EMPTY_BUFFER;
         }
     }
 
+    /** The server says nothing on any connection; what may run elsewhere goes there. */
+    void serverSilent() {
+        if (mForwarding.isCurrent(this) && isSent() && mForwarding.isRepeatable()) {
+            mForwarding.attemptFailed(this, "server_silent", true);
+        }
+    }
+
     @Override
     public void notSent(String reason) {
         if (mForwarding.isCurrent(this)) {
@@ -89,6 +97,7 @@
         Optional.ofNullable(head.headers().get(mGateway.names().load()))
                 .flatMap(text -> ServerLoad.parse(text, mGateway.now()))
                 .ifPresent(mServer::loadReported);
+        mForwarding.learnWeights(mServer, head.headers().get(mGateway.names().weights(), ""));
         if (isSuccess() && !isSigned()) {
             mForwarding.attemptFailed(this, "unsigned_answer", true);
         } else if (isSuccess() && mForwarding.route().isStream()) {
@@ -120,7 +129,10 @@
             return;
         }
         HttpResponse head = mHead.orElseThrow();
-        if (head.headers().contains(mGateway.names().notExecuted())) {
+        boolean isNotRun =
+                head.headers().contains(mGateway.names().notExecuted())
+                        || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        if (isNotRun) {
             mForwarding.notRun(this, head.status().code());
         } else if (mRelay.isPresent()) {
             finishStream();
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
 
 /** The backend servers that this entry knows, by service; for the traffic thread only. */
@@ -41,9 +43,27 @@
                                         .add(server));
     }
 
-    /** Returns all servers of a service, those that leave among them. */
-    List<BackendServer> servers(String service) {
-        return mByService.getOrDefault(service, List.of());
+    /** Returns the servers of a service that take requests, but for some. */
+    List<BackendServer> ready(String service, Set<BackendServer> without) {
+        return mByService.getOrDefault(service, List.of()).stream()
+                .filter(server -> server.takesRequests() && !without.contains(server))
+                .toList();
+    }
+
+    /** Returns where the agents of the engines answer. */
+    Set<String> agents(long now) {
+        return mServers.values().stream()
+                .flatMap(server -> server.notice(now).stream())
+                .map(EngineNotice::getAgent)
+                .filter(agent -> !agent.isEmpty())
+                .collect(Collectors.toSet());
+    }
+
+    /** Takes what an agent says of the engine that announced this address. */
+    void noticed(EngineNotice notice, long now) {
+        mServers.values().stream()
+                .filter(server -> server.record().getAddress().equals(notice.getAddress()))
+                .forEach(server -> server.noticed(notice, now));
     }
 
     Collection<BackendServer> all() {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.ibisstand.settings.Address;
+import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
 
 /**
@@ -19,20 +24,29 @@
 
     private static final int LARGEST_SHIFT = 10;
 
+    /** A queue that was full has room again after some answers. */
+    private static final long REFUSED_PAUSE_MILLISECONDS = 100;
+
     /** The weight of one answer in the share of failures: about the last twenty answers count. */
     private static final double FAILURE_WEIGHT = 0.05;
 
+    /** Agents repeat themselves every second; one that is silent for longer is down. */
+    private static final long NOTICE_MILLISECONDS = 2_500;
+
     private final Address mAddress;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
     private ServerRecord mRecord;
     private int mConnections;
-    private int mInFlight;
     private long mPendingTokens;
     private int mFailures;
     private long mPausedUntil;
     private double mFailureShare;
     private Optional<ServerLoad> mLoad = Optional.empty();
     private int mSentSinceLoad;
+    private final Set<Attempt> mAttempts = new LinkedHashSet<>();
+    private final Map<String, Long> mLearnedWeights = new HashMap<>();
+    private Optional<EngineNotice> mNotice = Optional.empty();
+    private long mNoticeAt;
     private long mHeardAt;
     private boolean mRemoved;
 
@@ -90,7 +104,7 @@
     }
 
     int inFlight() {
-        return mInFlight;
+        return mAttempts.size();
     }
 
     /** Returns the prompt tokens of requests that were sent and have no first event yet. */
@@ -98,11 +112,11 @@
         return mPendingTokens;
     }
 
-    void sent(int tokens, long now) {
-        if (mInFlight == 0) {
+    void sent(Attempt attempt, int tokens, long now) {
+        if (mAttempts.isEmpty()) {
             mHeardAt = now;
         }
-        mInFlight++;
+        mAttempts.add(attempt);
         mPendingTokens += tokens;
         mSentSinceLoad++;
     }
@@ -111,8 +125,40 @@
         mPendingTokens -= tokens;
     }
 
-    void ended() {
-        mInFlight--;
+    void ended(Attempt attempt) {
+        mAttempts.remove(attempt);
+    }
+
+    Set<Attempt> attempts() {
+        return mAttempts;
+    }
+
+    /** Takes what the agent beside the engine says of it. */
+    void noticed(EngineNotice notice, long now) {
+        mNotice = Optional.of(notice);
+        mNoticeAt = now;
+    }
+
+    /** Returns what the agent said, if that is not too old. */
+    Optional<EngineNotice> notice(long now) {
+        return mNotice.filter(notice -> now - mNoticeAt < NOTICE_MILLISECONDS);
+    }
+
+    long noticeAge(long now) {
+        return now - mNoticeAt;
+    }
+
+    /** Notes that an answer, or a refusal, told of weights that no record tells of yet. */
+    void learnedWeights(String model, long version) {
+        mLearnedWeights.merge(model, version, Math::max);
+    }
+
+    /** Returns the newest version of a model's weights that the server is known to have. */
+    long weights(String model) {
+        long announced = mRecord.getWeightsOrDefault(model, 0);
+        long told = mNotice.map(notice -> notice.getWeightsOrDefault(model, 0)).orElse(0L);
+        long learned = mLearnedWeights.getOrDefault(model, 0L);
+        return Math.max(learned, Math.max(announced, told));
     }
 
     void heard(long now) {
@@ -121,7 +167,7 @@
 
     /** Returns for how long the server has said nothing although requests wait for it. */
     long silentMilliseconds(long now) {
-        return mInFlight == 0 ? 0 : now - mHeardAt;
+        return mAttempts.isEmpty() ? 0 : now - mHeardAt;
     }
 
     void loadReported(ServerLoad load) {
@@ -161,6 +207,11 @@
         mPausedUntil = now + pause;
     }
 
+    /** Notes a refusal: the server is full or busy with an order, and gets a short pause. */
+    void refused(long now) {
+        mPausedUntil = Math.max(mPausedUntil, now + REFUSED_PAUSE_MILLISECONDS);
+    }
+
     boolean isPaused(long now) {
         return now < mPausedUntil;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/EngineCost.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EngineCost.java
@@ -1,13 +1,14 @@
 package org.ibisstand.gateway;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
  * Predicts the time to the first event at each engine; a decision without input or output.
  *
  * <p>It answers the pattern of long prompts that share most of their tokens: the shared part has
- * one home, the same for all entries without any message between them, and goes elsewhere only when
- * the wait at its home is dearer than reading, or fetching, the part again.
+ * one home, the same for all entries without any message between them, and is fetched from there
+ * when the wait at its home is dearer than the transfer.
  */
 final class EngineCost {
     /** Prompt tokens that an engine reads in a millisecond: the order of present accelerators. */
@@ -19,9 +20,15 @@
     /** A request in an engine's queue has about this many tokens to read. */
     private static final double WAITING_TOKENS = 2_500;
 
+    /** The request for a transfer and its first bytes, with a queue of other transfers. */
+    private static final double TRANSFER_START_MILLISECONDS = 3;
+
     /** A transfer to another availability zone takes twice as long. */
     private static final double OTHER_ZONE_FACTOR = 2;
 
+    /** A request that finds no memory waits for others to end, or pushes them out. */
+    private static final double NO_MEMORY_MILLISECONDS = 300;
+
     private static final double BITS_PER_BYTE = 8;
     private static final double MEGABITS_TO_BITS_PER_MILLISECOND = 1_000;
 
@@ -32,56 +39,58 @@
      *
      * @param name names the engine
      * @param zone the availability zone that it stands in
-     * @param holdsShared whether this entry sent the shared part there of late
+     * @param heldTokens of the shared parts that the engine holds, as far as known
      * @param pendingTokens that this entry sent there and that have no first event yet
      * @param running requests, as last reported
      * @param waiting requests, as last reported
      * @param pacePercent how long work takes there, 100 is usual
+     * @param freeTokens memory that running requests leave, in tokens
+     * @param penaltyMilliseconds what speaks against the engine beside its load
      */
     record Engine(
             String name,
             String zone,
-            boolean holdsShared,
+            int heldTokens,
             long pendingTokens,
             int running,
             int waiting,
-            int pacePercent) {}
+            int pacePercent,
+            long freeTokens,
+            double penaltyMilliseconds) {}
 
     /**
      * What a prompt is made of.
      *
      * @param sharedKey the same for prompts that share their first parts
      * @param sharedTokens the length of these parts
-     * @param ownTokens all others
+     * @param ownTokens all others of the prompt
+     * @param outputTokens the most tokens of the answer
      */
-    record Shape(String sharedKey, int sharedTokens, int ownTokens) {}
+    record Shape(String sharedKey, int sharedTokens, int ownTokens, int outputTokens) {}
 
     /**
-     * How KV cache moves between engines.
+     * How KV cache comes to an engine.
      *
      * @param bytesPerToken its size; zero if it does not move
-     * @param linkMegabits the speed of an engine's link
+     * @param linkMegabits the speed of the link that it comes over
+     * @param zone where it comes from
      */
-    record Transfer(long bytesPerToken, double linkMegabits) {
-        double milliseconds(int tokens, boolean sameZone) {
+    record Transfer(long bytesPerToken, double linkMegabits, String zone) {
+        double milliseconds(int tokens, String toZone) {
             double bits = tokens * (double) bytesPerToken * BITS_PER_BYTE;
             double time = bits / (linkMegabits * MEGABITS_TO_BITS_PER_MILLISECOND);
-            return sameZone ? time : time * OTHER_ZONE_FACTOR;
+            double factor = zone.equals(toZone) ? 1 : OTHER_ZONE_FACTOR;
+            return TRANSFER_START_MILLISECONDS + time * factor;
         }
     }
 
-    /** Returns the index of the engine that is the home of a shared part. */
-    static int home(String sharedKey, List<Engine> engines) {
-        int home = 0;
-        long highest = Long.MIN_VALUE;
-        for (int index = 0; index < engines.size(); index++) {
-            long rank = rank(sharedKey, engines.get(index).name());
-            if (rank > highest) {
-                highest = rank;
-                home = index;
-            }
-        }
-        return home;
+    /** Returns the engines in the order in which they are the home of a shared part. */
+    static List<Engine> homes(String sharedKey, List<Engine> engines) {
+        return engines.stream()
+                .sorted(
+                        Comparator.<Engine>comparingLong(one -> rank(sharedKey, one.name()))
+                                .reversed())
+                .toList();
     }
 
     /**
@@ -89,23 +98,25 @@
      *
      * @param engine the engine
      * @param shape of the prompt
-     * @param home where the shared part is expected to be
-     * @param transfer how the part could be fetched from its home
+     * @param transfer how missing parts could be fetched
      */
-    static double milliseconds(Engine engine, Shape shape, Engine home, Transfer transfer) {
+    static double milliseconds(Engine engine, Shape shape, Transfer transfer) {
         double tokens = shape.ownTokens() + engine.pendingTokens();
         tokens += engine.waiting() * WAITING_TOKENS;
         double time = tokens / TOKENS_PER_MILLISECOND + engine.running() * RUNNING_MILLISECONDS;
-        if (!engine.holdsShared() && !engine.name().equals(home.name())) {
-            double reading = shape.sharedTokens() / TOKENS_PER_MILLISECOND;
-            boolean sameZone = engine.zone().equals(home.zone());
+        int missing = Math.max(0, shape.sharedTokens() - engine.heldTokens());
+        if (missing > 0) {
+            double reading = missing / TOKENS_PER_MILLISECOND;
             time +=
                     transfer.bytesPerToken() == 0
                             ? reading
-                            : Math.min(
-                                    reading, transfer.milliseconds(shape.sharedTokens(), sameZone));
+                            : Math.min(reading, transfer.milliseconds(missing, engine.zone()));
+        }
+        long needed = (long) shape.ownTokens() + shape.outputTokens() + shape.sharedTokens();
+        if (needed + engine.pendingTokens() > engine.freeTokens()) {
+            time += NO_MEMORY_MILLISECONDS;
         }
-        return time * engine.pacePercent() / 100;
+        return time * engine.pacePercent() / 100 + engine.penaltyMilliseconds();
     }
 
     private static long rank(String key, String name) {
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -29,6 +29,9 @@
     /** Servers that may refuse the request, or the connection, before the caller is refused. */
     private static final int MAXIMUM_NOT_RUN = 3;
 
+    /** The last place in an engine's queue. */
+    private static final int LEAST_URGENT = 9;
+
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerAnswer mCaller;
@@ -113,9 +116,24 @@
         if (mDone) {
             return;
         }
-        Optional<Placement.Place> place =
-                mService.flatMap(
-                        service -> mGateway.placement().choose(service, mPrompt, salt(), mTried));
+        if (mService.isPresent() && mPrompt.isPresent() && mService.get().engine().isPresent()) {
+            PromptPlacement.Task task =
+                    new PromptPlacement.Task(
+                            mService.get(),
+                            mPrompt.get(),
+                            team(),
+                            mGateway.table().flatMap(RouteTable::cacheStore),
+                            Set.copyOf(mTried));
+            mGateway.promptPlacement().choose(task, this::send);
+        } else {
+            send(mService.flatMap(service -> mGateway.placement().choose(service, mTried)));
+        }
+    }
+
+    private void send(Optional<Placement.Place> place) {
+        if (mDone) {
+            return;
+        }
         if (place.isEmpty()) {
             giveUp("no_server");
             return;
@@ -126,20 +144,49 @@
         int tokens = mPrompt.map(Prompt::promptTokens).orElse(0);
         Attempt attempt = new Attempt(this, mGateway, server, tokens);
         mAttempt = Optional.of(attempt);
-        mPrompt.ifPresent(prompt -> mGateway.placement().sent(prompt, salt(), server));
+        mPrompt.ifPresent(
+                prompt -> mGateway.promptPlacement().sent(prompt, place.get().salt(), server));
         logPlaced(place.get());
         RequestCopy copy =
-                new RequestCopy(mGateway.names(), mRequest, mAdmitted.get().team(), salt());
-        attempt.send(
-                copy.forServer(
-                        server.name(),
-                        Math.max(1, mLimitAt - mGateway.now()),
-                        mStream.flatMap(StreamRelay::lastEvent)),
-                mRequest.identifier(),
-                isRepeatable());
+                new RequestCopy(
+                        mGateway.names(), mRequest, mAdmitted.get().team(), mPrompt.isPresent());
+        attempt.send(copy.of(dispatch(place.get())), mRequest.identifier(), isRepeatable());
         armSilence(attempt);
     }
 
+    private RequestCopy.Dispatch dispatch(Placement.Place place) {
+        return new RequestCopy.Dispatch(
+                place.server().name(),
+                Math.max(1, mLimitAt - mGateway.now()),
+                mStream.flatMap(StreamRelay::lastEvent),
+                place.salt(),
+                place.source(),
+                place.target(),
+                place.weights(),
+                urgency());
+    }
+
+    /** The priority of the team goes before that of the route. */
+    private int urgency() {
+        int priority =
+                mAdmitted
+                        .flatMap(Admission.Admitted::team)
+                        .flatMap(TeamKeys::priority)
+                        .orElse(route().priority());
+        return Math.clamp(priority, 0, LEAST_URGENT);
+    }
+
+    /** Notes the weights that made an answer. */
+    void learnWeights(BackendServer server, String version) {
+        if (mPrompt.isPresent() && !version.isEmpty() && version.length() < Integer.SIZE / 2) {
+            try {
+                server.learnedWeights(mPrompt.get().model(), Long.parseLong(version));
+            } catch (NumberFormatException e) {
+                log("weights_unreadable", "text", version);
+            }
+        }
+    }
+
     /**
      * An idempotent call whose server says nothing for as long as the objective is sent to another
      * one: connections fall silent without a reset, and the first server is told to stop.
@@ -190,6 +237,10 @@
         mNotRun++;
         mSent--;
         endAttempt(attempt);
+        attempt.server().refused(mGateway.now());
+        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            mPrompt.ifPresent(prompt -> suspectWeights(attempt.server(), prompt));
+        }
         log("not_run", "server", attempt.server().name(), "status", status);
         if (mNotRun < MAXIMUM_NOT_RUN) {
             repeatOrGiveUp("refused_by_server");
@@ -198,6 +249,12 @@
         }
     }
 
+    /** A server that is another, or has other weights, most likely has the newest by now. */
+    private void suspectWeights(BackendServer server, Prompt prompt) {
+        long named = mGateway.weights().newest(prompt.model());
+        server.learnedWeights(prompt.model(), named);
+    }
+
     /** The attempt may have run and has no whole answer. */
     void attemptFailed(Attempt attempt, String reason, boolean cancels) {
         endAttempt(attempt);
@@ -337,7 +394,7 @@
     }
 
     /** Prompts of isolated teams share no cache with others. */
-    private String salt() {
+    private String team() {
         Optional<TeamKeys> isolated =
                 mAdmitted.flatMap(Admission.Admitted::team).filter(TeamKeys::isolated);
         return isolated.map(team -> "team-" + team.name()).orElse("shared");
@@ -369,6 +426,13 @@
                         .with("server", server.name())
                         .with("cost", Math.round(place.cost()))
                         .with("in_flight", server.inFlight());
+        place.source().ifPresent(source -> line.with("fetch_from", source));
+        mPrompt.ifPresent(
+                prompt ->
+                        line.with("salt", place.salt())
+                                .with("part", prompt.sharedKey())
+                                .with("shared_tokens", prompt.sharedTokens())
+                                .with("prompt_tokens", prompt.promptTokens()));
         server.load()
                 .ifPresent(
                         load ->
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.ibisstand.fleet.FleetState;
+import org.ibisstand.wire.WireContext;
+import org.ibisstand.wire.message.EngineNotices;
 
 /** What all requests of one gateway share; for the traffic thread only. */
 final class Gateway {
@@ -23,12 +25,14 @@
     private final RandomGenerator mRandom;
     private final BackendDirectory mDirectory = new BackendDirectory();
     private final BackendExchanges mExchanges;
+    private final AgentOffers mOffers;
     private final Placement mPlacement;
+    private final PromptPlacement mPromptPlacement;
     private final GatewayMetrics mMetrics;
     private final Map<String, RetryAllowance> mAllowances = new HashMap<>();
     private final Set<CallerHandler> mCallers = new LinkedHashSet<>();
     private Optional<RouteTable> mTable = Optional.empty();
-    private Map<String, Long> mWeights = Map.of();
+    private final NamedWeights mWeights = new NamedWeights();
     private int mEntries = 1;
     private volatile boolean mDraining;
     private volatile boolean mServing;
@@ -37,6 +41,7 @@
             GatewaySettings settings,
             ForwardingHeaders names,
             PromptReader prompts,
+            WireContext wire,
             EventLoop loop,
             Clock clock,
             RandomGenerator random,
@@ -48,7 +53,11 @@
         mClock = clock;
         mRandom = random;
         mExchanges = new BackendExchanges(loop, names, clock);
-        mPlacement = new Placement(settings.zone(), mDirectory, new ServerChoice(random), clock);
+        mOffers = new AgentOffers(wire);
+        ServerChoice choice = new ServerChoice(random);
+        mPlacement = new Placement(mDirectory, choice, clock);
+        mPromptPlacement =
+                new PromptPlacement(mDirectory, choice, mWeights, mOffers, random, clock);
         mMetrics = new GatewayMetrics(metrics);
     }
 
@@ -61,11 +70,17 @@
                 mServing = true;
             }
         }
-        mWeights = state.weights();
+        mWeights.update(state.weights(), now());
         mEntries = state.entries();
         mDirectory.update(state.servers());
     }
 
+    /** Takes what agents say of their engines. */
+    void noticed(EngineNotices notices) {
+        notices.getEnginesList().forEach(notice -> mDirectory.noticed(notice, now()));
+        mOffers.keep(mDirectory.agents(now()));
+    }
+
     /** Returns whether requests can be served: a configuration is known. */
     boolean isServing() {
         return mServing;
@@ -119,6 +134,10 @@
         return mPlacement;
     }
 
+    PromptPlacement promptPlacement() {
+        return mPromptPlacement;
+    }
+
     GatewayMetrics metrics() {
         return mMetrics;
     }
@@ -132,9 +151,9 @@
         return mEntries;
     }
 
-    /** Returns the newest named version of a model's weights; zero if none was named. */
-    long namedWeights(String model) {
-        return mWeights.getOrDefault(model, 0L);
+    /** Returns the weights that operators named. */
+    NamedWeights weights() {
+        return mWeights;
     }
 
     RetryAllowance allowance(String service) {
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -45,6 +45,9 @@
     /** Between looks at idle and slow connections; short against their limits of seconds. */
     private static final long SWEEP_MILLISECONDS = 250;
 
+    /** Between looks at silent backend servers; short against their limits. */
+    private static final long SILENCE_CHECK_MILLISECONDS = 100;
+
     private static final long STOP_SECONDS = 1;
 
     private final GatewaySettings mSettings;
@@ -64,8 +67,6 @@
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mControlThread = Executors.newSingleThreadExecutor(task -> new Thread(task, "control"));
         EventLoop loop = mGroup.next();
-        mGateway =
-                new Gateway(settings, names, prompts, loop, clock, new SplittableRandom(), metrics);
         WireContext wire =
                 new WireContext(
                         mGroup,
@@ -74,15 +75,32 @@
                         "entry",
                         BootIdentifier.create(),
                         new SecureRandom());
+        mGateway =
+                new Gateway(
+                        settings,
+                        names,
+                        prompts,
+                        wire,
+                        loop,
+                        clock,
+                        new SplittableRandom(),
+                        metrics);
         mFollower =
                 new FleetFollower(
                         wire,
                         mControlThread,
                         true,
-                        state -> loop.execute(() -> mGateway.update(state)));
+                        state -> loop.execute(() -> mGateway.update(state)),
+                        notices -> loop.execute(() -> mGateway.noticed(notices)));
         mServer = listen();
         loop.scheduleWithFixedDelay(
                 this::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        SilenceWatch silence = new SilenceWatch(mGateway);
+        loop.scheduleWithFixedDelay(
+                silence::check,
+                SILENCE_CHECK_MILLISECONDS,
+                SILENCE_CHECK_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
         mFollower.follow(settings.control());
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/Prompt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Prompt.java
@@ -33,4 +33,17 @@
     String sharedKey() {
         return parts.size() < 2 ? "" : parts.get(parts.size() - 2).identifier();
     }
+
+    /** Returns the identifiers of all parts but the last. */
+    List<String> sharedParts() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).map(Part::identifier).toList();
+    }
+
+    /** Returns the length of the first shared parts. */
+    int tokensOf(int heldParts) {
+        return parts.stream()
+                .limit(Math.min(heldParts, Math.max(0, parts.size() - 1)))
+                .mapToInt(Part::tokens)
+                .sum();
+    }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
@@ -17,30 +17,57 @@
     private final ForwardingHeaders mNames;
     private final CallerRequest mRequest;
     private final Optional<TeamKeys> mTeam;
-    private final String mSalt;
+    private final boolean mHasPrompt;
 
     RequestCopy(
-            ForwardingHeaders names, CallerRequest request, Optional<TeamKeys> team, String salt) {
+            ForwardingHeaders names,
+            CallerRequest request,
+            Optional<TeamKeys> team,
+            boolean hasPrompt) {
         mNames = names;
         mRequest = request;
         mTeam = team;
-        mSalt = salt;
+        mHasPrompt = hasPrompt;
     }
 
     /**
-     * Returns the request for one server.
+     * What a request for one server says beside what the caller sent.
      *
      * @param server the incarnation that it is meant for
      * @param leftMilliseconds how long the answer is waited for
      * @param lastEvent the last event that the caller has, if a stream goes on
+     * @param salt that the prompt is cached under
+     * @param source where shared parts of the prompt are fetched from
+     * @param target the store that keeps the prompt afterwards
+     * @param weights the version that the server has; zero if that is not known
+     * @param urgency orders the queue of an engine, 0 first
      */
-    FullHttpRequest forServer(String server, long leftMilliseconds, Optional<String> lastEvent) {
+    record Dispatch(
+            String server,
+            long leftMilliseconds,
+            Optional<String> lastEvent,
+            String salt,
+            Optional<String> source,
+            Optional<String> target,
+            long weights,
+            int urgency) {}
+
+    /** Returns the request for one server. */
+    FullHttpRequest of(Dispatch dispatch) {
         HttpHeaders headers = HeaderCopy.of(mRequest.headers(), dropped());
-        headers.set(mNames.deadline(), leftMilliseconds);
-        headers.set(mNames.expectedServer(), server);
-        headers.set(mNames.cacheSalt(), mSalt);
+        headers.set(mNames.deadline(), dispatch.leftMilliseconds());
+        headers.set(mNames.expectedServer(), dispatch.server());
         mTeam.ifPresent(team -> headers.set(mNames.team(), team.name()));
-        lastEvent.ifPresent(event -> headers.set(mNames.lastEvent(), event));
+        dispatch.lastEvent().ifPresent(event -> headers.set(mNames.lastEvent(), event));
+        if (mHasPrompt) {
+            headers.set(mNames.cacheSalt(), dispatch.salt());
+            headers.set(mNames.urgency(), dispatch.urgency());
+            dispatch.source().ifPresent(source -> headers.set(mNames.cacheSource(), source));
+            dispatch.target().ifPresent(target -> headers.set(mNames.cacheTarget(), target));
+            if (dispatch.weights() > 0) {
+                headers.set(mNames.expectedWeights(), dispatch.weights());
+            }
+        }
         int length = mRequest.body().readableBytes();
         boolean hasBody =
                 length > 0
--- a/gateway/src/main/java/org/ibisstand/gateway/RouteTable.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RouteTable.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.ibisstand.settings.Route;
 import org.ibisstand.settings.RoutedService;
+import org.ibisstand.settings.RoutedService.CacheStore;
 import org.ibisstand.settings.RoutingConfiguration;
 import org.ibisstand.settings.RoutingConfiguration.TeamKeys;
 
@@ -59,6 +60,13 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /** Returns the store of KV cache, if there is one. */
+    Optional<CacheStore> cacheStore() {
+        return mConfiguration.services().stream()
+                .flatMap(service -> service.cacheStore().stream())
+                .findFirst();
+    }
+
     /**
      * Returns the route with the longest prefix that begins the path.
      *
--- a/settings/src/main/java/org/ibisstand/settings/RoutedService.java
+++ b/settings/src/main/java/org/ibisstand/settings/RoutedService.java
@@ -45,6 +45,8 @@
      * @param address where engines reach it
      * @param zone the availability zone that it stands in
      * @param capacityTokens how much it keeps
+     * @param linkMegabits the speed of its link, in megabits a second
      */
-    public record CacheStore(Address address, String zone, long capacityTokens) {}
+    public record CacheStore(
+            Address address, String zone, long capacityTokens, double linkMegabits) {}
 }
