--- a/agent/src/main/java/org/ibisstand/agent/EngineOffice.java
+++ b/agent/src/main/java/org/ibisstand/agent/EngineOffice.java
@@ -8,14 +8,16 @@
     CompletableFuture<EngineStatus> status();
 
     /**
-     * Orders the engine to load weights once its running requests have ended.
+     * Orders the engine to load weights.
      *
      * @param model the model
      * @param version the version to load
+     * @param waits whether running requests end first; else they go on with the new weights
      * @param expectedSequence the number of accepted orders on which this one builds
      * @return whether the engine accepted the order or holds the weights already
      */
-    CompletableFuture<Boolean> load(String model, long version, long expectedSequence);
+    CompletableFuture<Boolean> load(
+            String model, long version, boolean waits, long expectedSequence);
 
     /**
      * Asks what changed in the engine's cache; answered once something has, or after a while.
--- a/agent/src/main/java/org/ibisstand/agent/PartFollower.java
+++ b/agent/src/main/java/org/ibisstand/agent/PartFollower.java
@@ -50,6 +50,8 @@
         mNextAt = mClock.instant().plus(PAUSE);
         if (failure == null) {
             mIndex.take(events);
+        } else {
+            mIndex.clear();
         }
         if ((failure == null) != mIsReachable) {
             mIsReachable = failure == null;
--- a/agent/src/main/java/org/ibisstand/agent/PartIndex.java
+++ b/agent/src/main/java/org/ibisstand/agent/PartIndex.java
@@ -57,6 +57,13 @@
         return held;
     }
 
+    /** Forgets everything, since nobody can fetch parts from an engine that does not answer. */
+    void clear() {
+        mTokens.clear();
+        mEpoch = 0;
+        mNext = 0;
+    }
+
     int size() {
         return mTokens.size();
     }
--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -32,8 +32,11 @@
     /** The way of a notice to all entries, through a member of control. */
     private static final Duration NOTICE_TIME = Duration.ofMillis(60);
 
-    /** The longest wait for requests that were queued before the notice. */
-    private static final Duration QUEUE_TIME = Duration.ofMillis(400);
+    /**
+     * The longest wait for requests that run. Most answers end in this time; while an engine waits
+     * for its longest ones it serves nobody else, for several seconds under load.
+     */
+    private static final Duration RUNNING_TIME = Duration.ofMillis(700);
 
     /** Notices are repeated for entries and members that have restarted. */
     private static final Duration REPETITION = Duration.ofSeconds(1);
@@ -126,6 +129,12 @@
         }
         if (failure != null) {
             mPreparedAt = Optional.empty();
+            tell(
+                    EngineNotice.newBuilder()
+                            .setAddress(mAddress)
+                            .setAgent(mAgent)
+                            .setUnreachable(true)
+                            .build());
             return;
         }
         Optional<String> due =
@@ -152,12 +161,12 @@
             return false;
         }
         Duration since = Duration.between(mPreparedAt.get(), mClock.instant());
-        boolean isEmpty = status.waiting() == 0 && since.compareTo(NOTICE_TIME) >= 0;
-        return isEmpty || since.compareTo(QUEUE_TIME) >= 0;
+        boolean isEmpty = status.waiting() == 0 && status.running() == 0;
+        return (isEmpty && since.compareTo(NOTICE_TIME) >= 0) || since.compareTo(RUNNING_TIME) >= 0;
     }
 
     private void tell(EngineStatus status) {
-        EngineNotice notice =
+        tell(
                 EngineNotice.newBuilder()
                         .setAddress(mAddress)
                         .setAgent(mAgent)
@@ -167,7 +176,10 @@
                         .setWaiting(status.waiting())
                         .setUsedTokens(status.usedTokens())
                         .setCapacityTokens(status.capacityTokens())
-                        .build();
+                        .build());
+    }
+
+    private void tell(EngineNotice notice) {
         Instant now = mClock.instant();
         boolean isSame = mTold.filter(notice::equals).isPresent();
         if (isSame && mToldAt.plus(REPETITION).isAfter(now)) {
@@ -226,17 +238,19 @@
     private void order(String model, EngineStatus status) {
         long version = mNamed.get(model);
         mAskedAt = Optional.of(mClock.instant());
-        mOffice.load(model, version, status.sequence())
+        boolean waits = status.running() == 0;
+        mOffice.load(model, version, waits, status.sequence())
                 .whenCompleteAsync(
-                        (accepted, failure) -> ordered(model, version, accepted, failure),
+                        (accepted, failure) -> ordered(model, status, accepted, failure),
                         mControlThread);
     }
 
-    private void ordered(String model, long version, Boolean accepted, Throwable failure) {
+    private void ordered(String model, EngineStatus before, Boolean accepted, Throwable failure) {
         mAskedAt = Optional.empty();
         LogLine.info("weights_ordered")
                 .with("model", model)
-                .with("version", version)
+                .with("version", mNamed.get(model))
+                .with("running", before.running())
                 .with("accepted", failure == null && accepted)
                 .with("reason", failure == null ? "" : failure.getMessage())
                 .write();
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -144,6 +144,10 @@
         return mNotice.filter(notice -> now - mNoticeAt < NOTICE_MILLISECONDS);
     }
 
+    private boolean isUnreachable(long now) {
+        return notice(now).filter(EngineNotice::getUnreachable).isPresent();
+    }
+
     long noticeAge(long now) {
         return now - mNoticeAt;
     }
@@ -212,8 +216,12 @@
         mPausedUntil = Math.max(mPausedUntil, now + REFUSED_PAUSE_MILLISECONDS);
     }
 
+    /**
+     * Returns whether to look for another server; one request at a time finds out if it is back.
+     */
     boolean isPaused(long now) {
-        return now < mPausedUntil;
+        boolean isProbed = mFailures > 0 && !mAttempts.isEmpty();
+        return now < mPausedUntil || isProbed || isUnreachable(now);
     }
 
     double failureShare() {
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -144,8 +144,7 @@
         int tokens = mPrompt.map(Prompt::promptTokens).orElse(0);
         Attempt attempt = new Attempt(this, mGateway, server, tokens);
         mAttempt = Optional.of(attempt);
-        mPrompt.ifPresent(
-                prompt -> mGateway.promptPlacement().sent(prompt, place.get().salt(), server));
+        mPrompt.ifPresent(prompt -> mGateway.promptPlacement().sent(prompt, place.get()));
         logPlaced(place.get());
         RequestCopy copy =
                 new RequestCopy(
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -105,8 +105,12 @@
     }
 
     /** Notes that a prompt was sent, so that its shared part is expected there. */
-    void sent(Prompt prompt, String salt, BackendServer server) {
-        mParts.sent(salt, prompt.sharedKey(), server.name(), mClock.millis());
+    void sent(Prompt prompt, Place place) {
+        long now = mClock.millis();
+        mParts.sent(place.salt(), prompt.sharedKey(), place.server().name(), now);
+        if (place.target().isPresent()) {
+            mParts.saved(place.salt(), prompt.sharedKey(), now);
+        }
     }
 
     /** Leaves out engines that load weights, or whose weights are too old to be used. */
@@ -182,7 +186,7 @@
         return mChoice.least(candidates).map(one -> place(task, servers, engines, one));
     }
 
-    private static Place place(
+    private Place place(
             Task task,
             List<BackendServer> servers,
             List<EngineCost.Engine> engines,
@@ -198,19 +202,25 @@
         return new Place(
                 server,
                 source,
-                kept,
+                kept.filter(store -> isUnsaved(task, server)),
                 task.salt(server),
                 server.weights(task.prompt().model()),
                 chosen.cost());
     }
 
+    /** The link of the store is shared by all engines: what it has is not sent again. */
+    private boolean isUnsaved(Task task, BackendServer server) {
+        return mParts.isUnsaved(task.salt(server), task.prompt().sharedKey(), mClock.millis());
+    }
+
     /** Returns the engine that holds most, if that is all; links of engines are the fastest. */
-    private static Optional<String> peer(
+    private Optional<String> peer(
             Task task, List<BackendServer> servers, List<EngineCost.Engine> engines, int chosen) {
         String salt = task.salt(servers.get(chosen));
         for (int index = 0; index < servers.size(); index++) {
             boolean holdsAll = engines.get(index).heldTokens() >= task.prompt().sharedTokens();
-            if (holdsAll && index != chosen && task.salt(servers.get(index)).equals(salt)) {
+            boolean isUsable = index != chosen && !servers.get(index).isPaused(mClock.millis());
+            if (holdsAll && isUsable && task.salt(servers.get(index)).equals(salt)) {
                 return Optional.of(servers.get(index).record().getAddress());
             }
         }
--- a/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
@@ -58,7 +58,7 @@
     public record Limits(
             @Range(from = 100, to = 10000000) int maximumClaims,
             @Range(from = 1024, to = 67108864) int maximumConfigurationBytes,
-            @Range(from = 16, to = 10000000) int snapshotAfterEntries,
+            @Range(from = 1, to = 10000000) int snapshotAfterEntries,
             @Range(from = 1, to = 64) int concurrentWeightLoads) {}
 
     /**
