--- a/gateway/src/main/java/org/ibisstand/gateway/CallerHandler.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -156,8 +157,9 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
+            boolean isTooLong = message.decoderResult().cause() instanceof TooLongFrameException;
             refuse(
-                    message instanceof HttpRequest
+                    isTooLong
                             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
                             : HttpResponseStatus.BAD_REQUEST);
             return;
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -13,6 +13,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.Collection;
@@ -27,6 +28,7 @@
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.fleet.FleetFollower;
+import org.ibisstand.fleet.FleetState;
 import org.ibisstand.wire.WireContext;
 import org.ibisstand.wire.WireSettings;
 
@@ -48,6 +50,9 @@
     /** Between looks at silent backend servers; short against their limits. */
     private static final long SILENCE_CHECK_MILLISECONDS = 100;
 
+    /** Connections are taken for a third of the stop: longer than a balancer's two misses. */
+    private static final long ACCEPTING_PART = 3;
+
     private static final long STOP_SECONDS = 1;
 
     private final GatewaySettings mSettings;
@@ -90,7 +95,7 @@
                         wire,
                         mControlThread,
                         true,
-                        state -> loop.execute(() -> mGateway.update(state)),
+                        this::update,
                         notices -> loop.execute(() -> mGateway.noticed(notices)));
         mServer = listen();
         loop.scheduleWithFixedDelay(
@@ -133,6 +138,16 @@
         return mGateway.isServing() && !mGateway.isDraining();
     }
 
+    /** Returns the port that callers connect to. */
+    public int port() {
+        return ((InetSocketAddress) mServer.localAddress()).getPort();
+    }
+
+    /** Takes what is known of routing and servers; completes once it is in force. */
+    CompletableFuture<Void> update(FleetState state) {
+        return CompletableFuture.runAsync(() -> mGateway.update(state), mGroup.next());
+    }
+
     /** Follows other members of control from now on. */
     public void follow(Collection<String> control) {
         mFollower.follow(control);
@@ -145,9 +160,9 @@
     public CompletableFuture<Void> drain() {
         LogLine.info("gateway_drains").with("milliseconds", mSettings.stopMilliseconds()).write();
         CompletableFuture<Void> done = new CompletableFuture<>();
+        long acceptingMilliseconds = mSettings.stopMilliseconds() / ACCEPTING_PART;
         mGateway.drain();
-        mGroup.next()
-                .schedule(this::closeIdle, mSettings.stopMilliseconds() / 2, TimeUnit.MILLISECONDS);
+        mGroup.next().schedule(this::stopAccepting, acceptingMilliseconds, TimeUnit.MILLISECONDS);
         mGroup.next()
                 .schedule(
                         () -> done.complete(null),
@@ -156,7 +171,7 @@
         mGroup.next()
                 .scheduleWithFixedDelay(
                         () -> completeIfIdle(done),
-                        mSettings.stopMilliseconds() / 2 + SWEEP_MILLISECONDS,
+                        acceptingMilliseconds + SWEEP_MILLISECONDS,
                         SWEEP_MILLISECONDS,
                         TimeUnit.MILLISECONDS);
         return done;
@@ -171,7 +186,9 @@
         LogLine.info("gateway_stopped").with("process", mSettings.process()).write();
     }
 
-    private void closeIdle() {
+    /** The balancer has passed this gateway over by now; what comes still belongs elsewhere. */
+    private void stopAccepting() {
+        mServer.close();
         List.copyOf(mGateway.callers()).forEach(CallerHandler::closeWhenIdle);
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
@@ -0,0 +1,64 @@
+package org.ibisstand.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventSplitterTest {
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n";
+
+    private final EventSplitter mSplitter = new EventSplitter(100);
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5, 7, 11, 100})
+    void passesWholeEventsOnHoweverTheyArrive(int pieceBytes) {
+        StringBuilder passed = new StringBuilder();
+        for (int from = 0; from < STREAM.length(); from += pieceBytes) {
+            String text =
+                    take(STREAM.substring(from, Math.min(STREAM.length(), from + pieceBytes)));
+            assertThat(text.isEmpty() || text.endsWith("\n\n")).isTrue();
+            passed.append(text);
+        }
+        assertThat(passed.toString()).isEqualTo(STREAM);
+        assertThat(mSplitter.lastIdentifier()).hasValue("3");
+        assertThat(mSplitter.hasPartial()).isFalse();
+    }
+
+    @Test
+    void holdsBackAnUnfinishedEventAndItsIdentifier() {
+        assertThat(take("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(mSplitter.lastIdentifier()).hasValue("1");
+        assertThat(mSplitter.hasPartial()).isTrue();
+    }
+
+    @Test
+    void goesOnWithAnotherServerAfterAnUnfinishedEvent() {
+        take("id: 1\ndata: a\n\nid: 2\nda");
+        mSplitter.dropPartial();
+
+        assertThat(take("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+    }
+
+    @Test
+    void noticesAnEndlessEvent() {
+        take("x".repeat(101));
+
+        assertThat(mSplitter.isOverlong()).isTrue();
+    }
+
+    @Test
+    void takesLinesThatEndWithBothCharacters() {
+        assertThat(take("id: 1\r\ndata: a\r\n\r\n")).isEqualTo("id: 1\r\ndata: a\r\n\r\n");
+        assertThat(mSplitter.lastIdentifier()).hasValue("1");
+    }
+
+    private String take(String text) {
+        ByteBuf events = mSplitter.take(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        return events.toString(StandardCharsets.UTF_8);
+    }
+}
