--- a/command/src/main/java/org/ibisstand/command/Executor.java
+++ b/command/src/main/java/org/ibisstand/command/Executor.java
@@ -8,6 +8,8 @@
 import java.io.Reader;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 import java.util.function.Function;
 import org.ibisstand.base.Digests;
@@ -52,6 +54,7 @@
             case Invocation.RunFakeService run ->
                     DaemonProcess.run(Daemons.startFakeService(run.host(), run.port()));
             case Invocation.CheckSettings check -> check(check);
+            case Invocation.Explain explain -> explain(explain);
             case Invocation.ApplyConfiguration apply -> apply(apply);
             case Invocation.Ask ask ->
                     withClient(ask.access(), client -> answer(client, ask.question()));
@@ -78,6 +81,22 @@
         mOutput.println("ok");
     }
 
+    private void explain(Invocation.Explain explain) throws IOException {
+        List<String> log = new ArrayList<>();
+        for (Path file : explain.files()) {
+            if (!Files.isReadable(file)) {
+                throw new IbisstandException(ErrorCode.USAGE, "cannot read the file " + file);
+            }
+            log.addAll(Files.readAllLines(file));
+        }
+        RequestStory story = RequestStory.of(explain.request(), log);
+        if (story.isEmpty()) {
+            throw new IbisstandException(
+                    ErrorCode.NOT_FOUND, "no line names the request " + explain.request());
+        }
+        story.sentences().forEach(mOutput::println);
+    }
+
     private void apply(Invocation.ApplyConfiguration apply) throws IOException {
         byte[] json = SettingsReader.readFile(apply.file());
         ConfigurationReader.create().read(json);
--- a/command/src/main/java/org/ibisstand/command/HelpText.java
+++ b/command/src/main/java/org/ibisstand/command/HelpText.java
@@ -20,6 +20,7 @@
               configuration show --control CONTROL
               configuration status --control CONTROL
               state --address ADDRESS
+              explain REQUEST FILE...     says from logs what happened to a request
               member add NAME WIRE_ADDRESS --control CONTROL
               member remove NAME --control CONTROL
               member status --control CONTROL
--- a/command/src/main/java/org/ibisstand/command/Invocation.java
+++ b/command/src/main/java/org/ibisstand/command/Invocation.java
@@ -20,6 +20,9 @@
     /** Checks a settings or configuration file. */
     record CheckSettings(SettingsKind kind, Path file) implements Invocation {}
 
+    /** Says from logs what happened to a request. */
+    record Explain(String request, List<Path> files) implements Invocation {}
+
     /** Puts a configuration in force. */
     record ApplyConfiguration(
             Access control, Path file, Optional<Long> expectedRevision, Optional<String> change)
--- a/command/src/main/java/org/ibisstand/command/InvocationParser.java
+++ b/command/src/main/java/org/ibisstand/command/InvocationParser.java
@@ -38,6 +38,7 @@
             case "fake-engine" -> FakeInvocations.parseEngine(rest);
             case "fake-service" -> FakeInvocations.parseService(rest);
             case "check-settings" -> parseCheck(rest);
+            case "explain" -> parseExplain(rest);
             case "configuration" -> parseConfiguration(rest);
             case "state" -> parseState(rest);
             case "member" -> parseMember(rest);
@@ -61,6 +62,15 @@
                 SettingsKind.parse(words.get(0)), Path.of(words.get(1)));
     }
 
+    private static Invocation parseExplain(String[] rest) {
+        List<String> words = parse(new Options(), rest).getArgList();
+        if (words.size() < 2) {
+            throw usage("expected the identifier of a request and at least one log file");
+        }
+        List<Path> files = words.subList(1, words.size()).stream().map(Path::of).toList();
+        return new Invocation.Explain(words.getFirst(), files);
+    }
+
     private static Invocation parseConfiguration(String[] rest) {
         Options options =
                 controlOptions().addOption(optional(EXPECTED_REVISION)).addOption(optional(CHANGE));
--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -106,6 +106,11 @@
         return mParts.fleet();
     }
 
+    /** Returns the counts and times of this member. */
+    public MetricRegistry metrics() {
+        return mMetrics;
+    }
+
     private void open(LogOpener opener) {
         WireContext wire = wireContext();
         InetSocketAddress address =
