--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -54,6 +54,7 @@
     private AdministrationServer mAdministration;
     private ControlParts mParts;
     private volatile ControlStatus mStatus;
+    private final CompletableFuture<IbisstandException> mFailed = new CompletableFuture<>();
     private volatile boolean mStopping;
 
     private ControlDaemon(
@@ -106,6 +107,11 @@
         return mParts.fleet();
     }
 
+    /** Completes if the member cannot go on, as after a failed disk, and must be started again. */
+    public CompletableFuture<IbisstandException> failed() {
+        return mFailed;
+    }
+
     /** Returns the counts and times of this member. */
     public MetricRegistry metrics() {
         return mMetrics;
@@ -222,6 +228,7 @@
             mParts.watchers().confirm(mParts.quorum().confirmed());
             mParts.watchers().flush();
             mParts.fleet().tick();
+            mParts.log().failure().ifPresent(mFailed::complete);
             rollOut();
         } catch (RuntimeException e) {
             LogLine.error("tick_failed").with("member", mSettings.member()).cause(e).write();
--- a/control/src/main/java/org/ibisstand/control/Log.java
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -1,6 +1,8 @@
 package org.ibisstand.control;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.ibisstand.base.IbisstandException;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.ConsensusEnvelope;
 
@@ -51,6 +53,11 @@
      */
     default void received(WireConnection connection, ConsensusEnvelope envelope) {}
 
+    /** Returns why this member takes no part in its group any more, until it is started again. */
+    default Optional<IbisstandException> failure() {
+        return Optional.empty();
+    }
+
     /** Stops the log; futures that are open fail. */
     @Override
     void close();
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -143,6 +143,11 @@
         return mFailure.isPresent() ? status.outOfTouch() : status;
     }
 
+    @Override
+    public Optional<IbisstandException> failure() {
+        return mFailure;
+    }
+
     @Override
     public CompletableFuture<Void> addMember(LogMember member) {
         if (mFailure.isPresent()) {
