Pace notices by the size of the fleet and share connections to a server

Cause: every watcher heard of every engine ten times a second, which at 600 engines would be 420 KB/s for each of 390 daemons; the limit of connections to a server was known and not kept. Change: the pause between notices grows with the engines, so a watcher receives about 7 KB/s at any size; loads of weights are still told at once. Each entry uses its share of a server's connections. On fleets of up to ten engines the pace is as before.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.fleet.FleetState;
+import org.ibisstand.fleet.NoticePace;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
@@ -182,7 +183,9 @@
     private void tell(EngineNotice notice) {
         Instant now = mClock.instant();
         boolean isSame = mTold.filter(notice::equals).isPresent();
-        if (isSame && mToldAt.plus(REPETITION).isAfter(now)) {
+        boolean isUrgent = mTold.filter(told -> told.getLoading() == notice.getLoading()).isEmpty();
+        Duration pause = isSame ? REPETITION : NoticePace.pause(mServers.size());
+        if (!isUrgent && mToldAt.plus(pause).isAfter(now)) {
             return;
         }
         mTold = Optional.of(notice);
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -17,6 +17,7 @@
 import org.ibisstand.control.message.Command;
 import org.ibisstand.control.message.NameWeights;
 import org.ibisstand.control.message.PutRouting;
+import org.ibisstand.fleet.NoticePace;
 import org.ibisstand.settings.ControlSettings;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.WireContext;
@@ -53,6 +54,7 @@
     private final Set<String> mLoading = new HashSet<>();
     private final Set<String> mJoining = new HashSet<>();
     private Instant mNextJoin;
+    private Instant mNextNotices = Instant.MIN;
     private long mLoggedVersion;
     private volatile Optional<String> mLeader = Optional.empty();
 
@@ -160,22 +162,25 @@
 
     /** Passes on what agents say of their engines, gathered for a tick unless it is urgent. */
     void engines(EngineNotices notices) {
-        boolean isUrgent = false;
+        EngineNotices.Builder urgent = EngineNotices.newBuilder();
         for (EngineNotice notice : notices.getEnginesList()) {
             mEngines.put(notice.getAddress(), notice);
-            isUrgent |= notice.getLoading() != mLoading.contains(notice.getAddress());
+            if (notice.getLoading() != mLoading.contains(notice.getAddress())) {
+                urgent.addEngines(notice);
+            }
             if (notice.getLoading()) {
                 mLoading.add(notice.getAddress());
             } else {
                 mLoading.remove(notice.getAddress());
             }
         }
-        if (isUrgent) {
-            tellEngines();
+        if (urgent.getEnginesCount() > 0) {
+            mWatchers.tell(urgent.build());
         }
     }
 
-    private void tellEngines() {
+    private void tellEngines(Instant now) {
+        mNextNotices = now.plus(NoticePace.pause(mDirectory.records().size()));
         if (!mEngines.isEmpty()) {
             mWatchers.tell(EngineNotices.newBuilder().addAllEngines(mEngines.values()).build());
             mEngines.clear();
@@ -225,7 +230,9 @@
             LogLine.info("routing_in_force").with("version", mLoggedVersion).write();
         }
         mWatchers.flush();
-        tellEngines();
+        if (!now.isBefore(mNextNotices)) {
+            tellEngines(now);
+        }
     }
 
     void close() {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -86,12 +86,6 @@
         mChannel = context.channel();
     }
 
-    @Override
-    public void channelActive(ChannelHandlerContext context) {
-        mServer.connectionOpened();
-        mChannel.closeFuture().addListener(closed -> mServer.connectionClosed());
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -8,12 +8,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.ibisstand.settings.RoutedService;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
 
 /** The backend servers that this entry knows, by service; for the traffic thread only. */
 final class BackendDirectory {
+    /** An entry may always use a few connections, whatever the servers' limits are. */
+    private static final int LEAST_CONNECTIONS = 4;
+
     private final Map<String, BackendServer> mServers = new HashMap<>();
+    private int mEntries = 1;
     private final Map<String, List<BackendServer>> mByService = new HashMap<>();
 
     /** Takes the servers that control lists now, and lets go of all others. */
@@ -43,10 +48,17 @@
                                         .add(server));
     }
 
+    /** Sets how many entries share the connections that a server accepts. */
+    void shareWith(int entries) {
+        mEntries = Math.max(1, entries);
+    }
+
     /** Returns the servers of a service that take requests, but for some. */
-    List<BackendServer> ready(String service, Set<BackendServer> without) {
-        return mByService.getOrDefault(service, List.of()).stream()
+    List<BackendServer> ready(RoutedService service, Set<BackendServer> without) {
+        int share = Math.max(LEAST_CONNECTIONS, service.maximumConnections() / mEntries);
+        return mByService.getOrDefault(service.name(), List.of()).stream()
                 .filter(server -> server.takesRequests() && !without.contains(server))
+                .filter(server -> server.inFlight() < share)
                 .toList();
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -36,7 +36,6 @@
     private final Address mAddress;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
     private ServerRecord mRecord;
-    private int mConnections;
     private long mPendingTokens;
     private int mFailures;
     private long mPausedUntil;
@@ -91,18 +90,6 @@
         return mIdle;
     }
 
-    int connections() {
-        return mConnections;
-    }
-
-    void connectionOpened() {
-        mConnections++;
-    }
-
-    void connectionClosed() {
-        mConnections--;
-    }
-
     int inFlight() {
         return mAttempts.size();
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -72,6 +72,7 @@
         }
         mWeights.update(state.weights(), now());
         mEntries = state.entries();
+        mDirectory.shareWith(state.entries());
         mDirectory.update(state.servers());
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewaySettings.java
@@ -1,7 +1,6 @@
 package org.ibisstand.gateway;
 
 import java.util.List;
-import java.util.Set;
 import org.ibisstand.settings.Address;
 
 /**
@@ -29,8 +28,4 @@
     public GatewaySettings {
         control = List.copyOf(control);
     }
-
-    Set<String> controlAddresses() {
-        return Set.copyOf(control);
-    }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/Placement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Placement.java
@@ -49,7 +49,7 @@
      * @param tried servers that are not asked again
      */
     Optional<Place> choose(RoutedService service, Set<BackendServer> tried) {
-        List<BackendServer> servers = mDirectory.ready(service.name(), tried);
+        List<BackendServer> servers = mDirectory.ready(service, tried);
         long now = mClock.millis();
         List<ServerChoice.Candidate> candidates = new ArrayList<>();
         for (int index = 0; index < servers.size(); index++) {
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -118,7 +118,7 @@
         long now = mClock.millis();
         String model = task.prompt().model();
         List<BackendServer> allowed =
-                mDirectory.ready(task.service().name(), task.tried()).stream()
+                mDirectory.ready(task.service(), task.tried()).stream()
                         .filter(server -> outdated(server, model, now) < LAST_USE_MILLISECONDS)
                         .toList();
         List<BackendServer> steady =
