Make the test of dropped log lines wait for the writer

The bound was wrong, not the code: the writer may have taken the first lines before it blocked, so that ten of twenty were kept. The test now waits until the writer holds one line and then demands the exact number, fifteen dropped, which is stricter.

--- a/base/src/test/java/org/ibisstand/base/BoundedOutputTest.java
+++ b/base/src/test/java/org/ibisstand/base/BoundedOutputTest.java
@@ -37,11 +37,13 @@
     }
 
     @Test
-    void ordinaryLinesAreDroppedFirst() {
+    void ordinaryLinesAreDroppedFirst() throws InterruptedException {
         CountDownLatch never = new CountDownLatch(1);
         Blocked target = new Blocked(never);
         BoundedOutput output = BoundedOutput.start(target, 10, line -> line.startsWith("placed"));
 
+        write(output, "first\n");
+        target.awaitWriter();
         for (int line = 0; line < 20; line++) {
             write(output, "placed\n");
         }
@@ -50,7 +52,7 @@
         never.countDown();
         output.close();
 
-        assertThat(dropped).isAtLeast(14);
+        assertThat(dropped).isEqualTo(15);
         assertThat(output.dropped()).isEqualTo(dropped);
         assertThat(target.text()).contains("refused\n");
         assertThat(target.text()).contains("log_lines_dropped");
@@ -63,6 +65,7 @@
 
     /** Blocks every write until it is released. */
     private static final class Blocked extends OutputStream {
+        private final CountDownLatch mEntered = new CountDownLatch(1);
         private final CountDownLatch mReleased;
         private final ByteArrayOutputStream mWritten = new ByteArrayOutputStream();
 
@@ -77,6 +80,7 @@
 
         @Override
         public void write(byte[] bytes, int from, int length) {
+            mEntered.countDown();
             try {
                 mReleased.await();
             } catch (InterruptedException e) {
@@ -85,6 +89,10 @@
             mWritten.write(bytes, from, length);
         }
 
+        void awaitWriter() throws InterruptedException {
+            mEntered.await();
+        }
+
         String text() {
             return mWritten.toString(StandardCharsets.UTF_8);
         }
