Leave a silent server while there is time for another, and log truly after a timeout

Change: an idempotent call is sent elsewhere after half of its time at the latest, within the same budget; the log line tells what the status tells. The test of the silent server fails without the change (504) and passes with it.

--- a/control/src/test/java/org/ibisstand/control/FleetControlTest.java
+++ b/control/src/test/java/org/ibisstand/control/FleetControlTest.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -29,6 +31,7 @@
 import org.ibisstand.base.Digests;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.settings.Address;
 import org.ibisstand.settings.Administration;
 import org.ibisstand.settings.ControlSettings;
@@ -244,9 +247,10 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long end = System.nanoTime() + LONG.toNanos();
+        Clock clock = MonotonicClock.start();
+        Instant end = clock.instant().plus(LONG);
         while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime() < end).isTrue();
+            assertThat(clock.instant()).isLessThan(end);
             LockSupport.parkNanos(PAUSE.toNanos());
         }
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.Route;
 import org.ibisstand.settings.Route.WeightedService;
 import org.ibisstand.settings.RoutedService;
@@ -35,6 +34,7 @@
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerAnswer mCaller;
+    private final RequestLog mLog;
     private final Set<BackendServer> mTried = new HashSet<>();
     private Optional<Admission.Admitted> mAdmitted = Optional.empty();
     private Optional<Prompt> mPrompt = Optional.empty();
@@ -52,6 +52,7 @@
         mGateway = gateway;
         mRequest = request;
         mCaller = caller;
+        mLog = new RequestLog(gateway, request);
     }
 
     void start() {
@@ -64,7 +65,7 @@
     /** The caller closed its connection: the work for it is cancelled. */
     void callerLeft() {
         if (!mDone) {
-            log("caller_left", "after_ms", elapsed());
+            mLog.event("caller_left", "after_ms", mLog.elapsedMilliseconds());
             mGateway.metrics().counted("callers_left");
             finish();
         }
@@ -107,7 +108,7 @@
         try {
             return text.isEmpty() ? Long.MAX_VALUE / 2 : Math.max(0, Long.parseLong(text));
         } catch (NumberFormatException e) {
-            log("deadline_unreadable", "text", text);
+            mLog.event("deadline_unreadable", "text", text);
             return Long.MAX_VALUE / 2;
         }
     }
@@ -145,7 +146,7 @@
         Attempt attempt = new Attempt(this, mGateway, server, tokens);
         mAttempt = Optional.of(attempt);
         mPrompt.ifPresent(prompt -> mGateway.promptPlacement().sent(prompt, place.get()));
-        logPlaced(place.get());
+        mLog.placed(place.get(), mSent, mPrompt);
         RequestCopy copy =
                 new RequestCopy(
                         mGateway.names(), mRequest, mAdmitted.get().team(), mPrompt.isPresent());
@@ -181,14 +182,15 @@
             try {
                 server.learnedWeights(mPrompt.get().model(), Long.parseLong(version));
             } catch (NumberFormatException e) {
-                log("weights_unreadable", "text", version);
+                mLog.event("weights_unreadable", "text", version);
             }
         }
     }
 
     /**
-     * An idempotent call whose server says nothing for as long as the objective is sent to another
-     * one: connections fall silent without a reset, and the first server is told to stop.
+     * An idempotent call whose server says nothing for as long as the objective, or for half of the
+     * time that is left, is sent to another one: connections fall silent without a reset, and the
+     * first server is told to stop.
      */
     private void armSilence(Attempt attempt) {
         Route route = mAdmitted.get().route();
@@ -202,7 +204,7 @@
                                 attemptFailed(attempt, "silent", true);
                             }
                         },
-                        route.objectiveMilliseconds(),
+                        Math.min(route.objectiveMilliseconds(), (mLimitAt - mGateway.now()) / 2),
                         TimeUnit.MILLISECONDS);
     }
 
@@ -223,7 +225,7 @@
         mNotRun++;
         mSent--;
         endAttempt(attempt);
-        log("not_sent", "server", attempt.server().name(), "reason", reason);
+        mLog.server("not_sent", attempt.server(), "reason", reason);
         if (mNotRun < MAXIMUM_NOT_RUN) {
             attempt();
         } else {
@@ -240,7 +242,7 @@
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             mPrompt.ifPresent(prompt -> suspectWeights(attempt.server(), prompt));
         }
-        log("not_run", "server", attempt.server().name(), "status", status);
+        mLog.server("not_run", attempt.server(), "status", status);
         if (mNotRun < MAXIMUM_NOT_RUN) {
             repeatOrGiveUp("refused_by_server");
         } else {
@@ -262,7 +264,7 @@
             attempt.cancel();
         }
         attempt.server().failed(mGateway.now());
-        log("attempt_failed", "server", attempt.server().name(), "reason", reason);
+        mLog.server("attempt_failed", attempt.server(), "reason", reason);
         if (isRepeatable()) {
             repeatOrGiveUp(reason);
         } else {
@@ -278,7 +280,7 @@
         }
         endAttempt(attempt);
         mMayHaveRun = true;
-        log("failure_repeated", "server", attempt.server().name(), "status", status);
+        mLog.server("failure_repeated", attempt.server(), "status", status);
         attempt();
         return true;
     }
@@ -344,6 +346,7 @@
             return;
         }
         boolean wasSent = mAttempt.filter(Attempt::isSent).isPresent();
+        mMayHaveRun |= wasSent;
         mAttempt.ifPresent(
                 attempt -> {
                     attempt.cancel();
@@ -351,7 +354,7 @@
                 });
         if (mStream.filter(StreamRelay::isBegun).isPresent()) {
             giveUp("time_over");
-        } else if (wasSent || mMayHaveRun) {
+        } else if (mMayHaveRun) {
             refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "time_over");
         } else {
             refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "time_over");
@@ -399,62 +402,14 @@
         return isolated.map(team -> "team-" + team.name()).orElse("shared");
     }
 
-    private long elapsed() {
-        return mGateway.now() - mRequest.arrivedMilliseconds();
-    }
-
-    private void log(String event, String key, Object value) {
-        LogLine.info(event).request(mRequest.identifier()).with(key, value).write();
-    }
-
-    private void log(String event, String key, Object value, String otherKey, Object other) {
-        LogLine.info(event)
-                .request(mRequest.identifier())
-                .with(key, value)
-                .with(otherKey, other)
-                .with("after_ms", elapsed())
-                .write();
-    }
-
-    private void logPlaced(Placement.Place place) {
-        BackendServer server = place.server();
-        LogLine line =
-                LogLine.info("placed")
-                        .request(mRequest.identifier())
-                        .with("attempt", mSent)
-                        .with("server", server.name())
-                        .with("cost", Math.round(place.cost()))
-                        .with("in_flight", server.inFlight());
-        place.source().ifPresent(source -> line.with("fetch_from", source));
-        mPrompt.ifPresent(
-                prompt ->
-                        line.with("salt", place.salt())
-                                .with("part", prompt.sharedKey())
-                                .with("shared_tokens", prompt.sharedTokens())
-                                .with("prompt_tokens", prompt.promptTokens()));
-        server.load()
-                .ifPresent(
-                        load ->
-                                line.with("running", load.running())
-                                        .with("waiting", load.waiting())
-                                        .with(
-                                                "report_age_ms",
-                                                mGateway.now() - load.atMilliseconds()));
-        line.write();
-    }
-
     private void logDone(int status, String server, String outcome) {
-        mGateway.metrics().answered(status, elapsed());
-        LogLine.info("request_done")
-                .request(mRequest.identifier())
-                .with("route", mAdmitted.map(admitted -> admitted.route().name()).orElse(""))
-                .with("version", mGateway.table().map(RouteTable::version).orElse(0L))
-                .with("status", status)
-                .with("outcome", outcome)
-                .with("server", server)
-                .with("attempts", mSent)
-                .with("may_have_run", mMayHaveRun || status == HttpResponseStatus.OK.code())
-                .with("after_ms", elapsed())
-                .write();
+        mLog.done(
+                new RequestLog.End(
+                        mAdmitted.map(admitted -> admitted.route().name()).orElse(""),
+                        status,
+                        outcome,
+                        server,
+                        mSent,
+                        mMayHaveRun || status == HttpResponseStatus.OK.code()));
     }
 }
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -234,6 +234,14 @@
         assertThat(answer).startsWith("HTTP/1.1 504");
     }
 
+    @Test
+    void aSilentServerIsLeftWhileThereIsTimeForAnother() throws IOException {
+        ScriptedServer.Script silentFirst = failingFirst((request, identifier, connection) -> {});
+        serve(Repetition.IDEMPOTENT, silentFirst, silentFirst);
+
+        assertThat(call("GET", "/p/", "x-deadline: 400\r\n", "")).startsWith("HTTP/1.1 200");
+    }
+
     @Test
     void aRequestWithTwoLengthsIsRefused() throws IOException {
         serve(Repetition.ONCE, whole(200, SIGNED, ""));
