--- a/agent/src/main/java/org/ibisstand/agent/LoadTurn.java
+++ b/agent/src/main/java/org/ibisstand/agent/LoadTurn.java
@@ -14,6 +14,7 @@
  * same servers and reach the same order without a message between them.
  */
 final class LoadTurn {
+    /** Three quarters of the engines carry the load meanwhile. */
     private static final int GROUPS = 4;
 
     /** Twice a load with the last requests before it: engines that take longer are passed over. */
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
@@ -15,8 +15,13 @@
 
 /** Sends requests to backend servers over pooled connections; for the traffic thread only. */
 final class BackendExchanges {
+    /** The usual limit of HTTP clients for a status line. */
     private static final int MAXIMUM_LINE_BYTES = 8_192;
+
+    /** Twice what callers may send, since servers add headers of their own. */
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
+
+    /** Pieces in which answers are read; an event of a stream is far shorter. */
     private static final int MAXIMUM_CHUNK_BYTES = 16_384;
 
     /** Many round trips between availability zones; a server that is down is passed over soon. */
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -22,6 +22,7 @@
     /** The longest pause, so that a server that is back gets requests within two seconds. */
     private static final long LONGEST_PAUSE_MILLISECONDS = 2_000;
 
+    /** Keeps the doubled pause within its type; the longest pause is reached before. */
     private static final int LARGEST_SHIFT = 10;
 
     /** A queue that was full has room again after some answers. */
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -15,6 +15,7 @@
 
 /** What all requests of one gateway share; for the traffic thread only. */
 final class Gateway {
+    /** Until a configuration is known; the default of operators. */
     private static final int DEFAULT_MAXIMUM_BODY_BYTES = 4 << 20;
 
     private final GatewaySettings mSettings;
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -34,14 +34,22 @@
 
 /** One gateway: its server for callers and what it follows of control, until closed. */
 public final class GatewayDaemon implements AutoCloseable {
+    /** All callers of a VM that stopped may come at once. */
     private static final int BACKLOG_CONNECTIONS = 1024;
+
+    /** The usual limit of HTTP servers for a request line. */
     private static final int MAXIMUM_LINE_BYTES = 8_192;
+
+    /** What operators allow by default; a change needs a restart. */
     private static final int MAXIMUM_HEADER_BYTES = 16_384;
+
+    /** Pieces in which bodies are read; most bodies are one piece. */
     private static final int MAXIMUM_CHUNK_BYTES = 65_536;
 
     /** A caller that reads slowly holds at most this much of an answer in memory. */
     private static final int HIGH_WATER_BYTES = 128 << 10;
 
+    /** Sending goes on once a quarter of that is left. */
     private static final int LOW_WATER_BYTES = 32 << 10;
 
     /** Between looks at idle and slow connections; short against their limits of seconds. */
@@ -53,6 +61,7 @@
     /** Connections are taken for a third of the stop: longer than a balancer's two misses. */
     private static final long ACCEPTING_PART = 3;
 
+    /** Connections that are left when the stop ends are closed at once. */
     private static final long STOP_SECONDS = 1;
 
     private final GatewaySettings mSettings;
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -27,6 +27,7 @@
     /** Agents of the first homes of a shared part, and of the engines that seem cheapest. */
     private static final int ASKED_HOMES = 2;
 
+    /** One of these is nearly always chosen. */
     private static final int ASKED_CHEAPEST = 3;
 
     /** Answers of older weights lose worth from this age of the newer ones on. */
--- a/gateway/src/main/java/org/ibisstand/gateway/RetryAllowance.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RetryAllowance.java
@@ -12,6 +12,7 @@
     /** Kept free of the allowed share, since entries count their windows at different times. */
     private static final double USED_SHARE = 0.8;
 
+    /** The window slides by a tenth of its length. */
     private static final int BUCKETS = 10;
 
     private final double mRatio;
