--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -58,8 +58,11 @@
     /** Between looks at silent backend servers; short against their limits. */
     private static final long SILENCE_CHECK_MILLISECONDS = 100;
 
-    /** Connections are taken for a third of the stop: longer than a balancer's two misses. */
-    private static final long ACCEPTING_PART = 3;
+    /**
+     * Connections are taken for a seventh of the stop, and the longest answers have the rest:
+     * callers that find no listener go elsewhere at once, while an answer that is cut is lost.
+     */
+    private static final long ACCEPTING_PART = 7;
 
     /** Connections that are left when the stop ends are closed at once. */
     private static final long STOP_SECONDS = 1;
@@ -195,7 +198,7 @@
         LogLine.info("gateway_stopped").with("process", mSettings.process()).write();
     }
 
-    /** The balancer has passed this gateway over by now; what comes still belongs elsewhere. */
+    /** What comes from now on would be cut at the end of the stop. */
     private void stopAccepting() {
         mServer.close();
         List.copyOf(mGateway.callers()).forEach(CallerHandler::closeWhenIdle);
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -3,16 +3,21 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.ibisstand.gateway.ScriptedServer.whole;
 import static org.ibisstand.gateway.ScriptedServer.write;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
@@ -30,6 +35,9 @@
     private static final String REFUSED = "x-not-executed: 1\r\n";
     private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
 
+    /** More than half of the gateway's time to stop. */
+    private static final Duration LONG_ANSWER = Duration.ofMillis(900);
+
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway =
             GatewayDaemon.start(
@@ -262,6 +270,24 @@
         assertThat(call("POST", "/p/", "", "x".repeat(100_001))).startsWith("HTTP/1.1 413");
     }
 
+    @Test
+    void aStoppingGatewayLeavesLongAnswersMostOfItsTime() throws IOException {
+        serve(
+                Repetition.STREAM,
+                (request, identifier, connection) -> {
+                    write(connection, streamHead(identifier) + chunk("id: 1\ndata: a\n\n"));
+                    LockSupport.parkNanos(LONG_ANSWER.toNanos());
+                    write(connection, chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+                });
+        CompletableFuture<Void> stopped = mGateway.drain();
+        Socket caller = connect();
+        write(caller, request("POST", "/p/", "", "sent"));
+
+        assertThat(read(caller)).endsWith("0\r\n\r\n");
+        stopped.join();
+        assertThrows(ConnectException.class, this::connect);
+    }
+
     @Test
     void aStoppingGatewayAnswersWhatItHasAndTakesNoMore() throws IOException {
         serve(
