Move the call server, the watch of settings and the running of daemons into the product

Ruled out: serving the platform's calls through AdministrationServer, which closes the connection after each answer and demands an operators' token.

--- a/platform/src/main/java/org/ibisstand/platform/ApiServer.java
+++ b/administration/src/main/java/org/ibisstand/administration/CallServer.java
@@ -1,4 +1,4 @@
-package org.ibisstand.platform;
+package org.ibisstand.administration;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
@@ -24,22 +23,30 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.Address;
 
-/** A small HTTP/1.1 server for the calls of the platform. */
-final class ApiServer {
+/**
+ * An HTTP/1.1 server for calls of other programs: connections stay open, answers carry a status, a
+ * body or another place to ask, and whoever embeds it decides what may be asked.
+ */
+public final class CallServer {
     /** Configurations with many thousands of routes. */
     private static final int MAXIMUM_BODY_BYTES = 16 << 20;
 
-    private ApiServer() {}
+    private CallServer() {}
 
     /** Answers one call. */
     @FunctionalInterface
-    interface Handler {
-        /** Starts to answer; runs on a traffic thread and must not block it. */
+    public interface Handler {
+        /**
+         * Starts to answer; runs on a traffic thread and must not block it.
+         *
+         * @param method the HTTP method
+         * @param uri the path and query as they were sent
+         * @param body the whole body; empty if there is none
+         */
         CompletableFuture<Answer> handle(String method, String uri, byte[] body);
     }
 
@@ -51,21 +58,25 @@
      * @param isJson whether the body is JSON rather than text
      * @param location where to go instead, with a redirection
      */
-    record Answer(int status, byte[] body, boolean isJson, Optional<String> location) {
-        static Answer of(int status) {
+    public record Answer(int status, byte[] body, boolean isJson, Optional<String> location) {
+        /** Returns an answer without a body. */
+        public static Answer of(int status) {
             return new Answer(status, new byte[0], false, Optional.empty());
         }
 
-        static Answer json(byte[] body) {
+        /** Returns an answer of status 200 with JSON in UTF-8. */
+        public static Answer json(byte[] body) {
             return new Answer(HttpResponseStatus.OK.code(), body, true, Optional.empty());
         }
 
-        static Answer text(String text) {
+        /** Returns an answer of status 200 with text. */
+        public static Answer text(String text) {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
             return new Answer(HttpResponseStatus.OK.code(), body, false, Optional.empty());
         }
 
-        static Answer redirect(String location) {
+        /** Returns an answer that sends the caller to a URI. */
+        public static Answer redirect(String location) {
             int status = HttpResponseStatus.TEMPORARY_REDIRECT.code();
             return new Answer(status, new byte[0], false, Optional.of(location));
         }
@@ -74,9 +85,13 @@
     /**
      * Listens for calls.
      *
+     * @param group the event loops that serve; the server does not end them
+     * @param address where to listen; port zero takes any free one
+     * @param handler answers the calls
+     * @return the listening channel, see {@link ServerPort#of}
      * @throws IbisstandException with PORT_IN_USE if the address cannot be bound
      */
-    static Channel start(EventLoopGroup group, Address address, Handler handler) {
+    public static Channel start(EventLoopGroup group, Address address, Handler handler) {
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
@@ -89,18 +104,11 @@
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
                                                 .addLast(new HttpServerCodec())
-                                                .addLast(
-                                                        new HttpObjectAggregator(
-                                                                MAXIMUM_BODY_BYTES))
+                                                .addLast(new BoundedAggregator(MAXIMUM_BODY_BYTES))
                                                 .addLast(new Calls(handler));
                                     }
                                 });
-        ChannelFuture bound = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IbisstandException(
-                    ErrorCode.PORT_IN_USE, "cannot listen on " + address, bound.cause());
-        }
-        return bound.channel();
+        return ServerPort.bind(bootstrap, address.host(), address.port());
     }
 
     /** Serves the calls of one connection. */
--- /dev/null
+++ b/base/src/main/java/org/ibisstand/base/DaemonProcess.java
@@ -0,0 +1,64 @@
+package org.ibisstand.base;
+
+import java.util.concurrent.CountDownLatch;
+import sun.misc.Signal;
+
+/**
+ * Runs a daemon until a signal stops it.
+ *
+ * <p>Signals are handled directly, since a shutdown hook never learns of a second one.
+ */
+public final class DaemonProcess {
+    private static final int SIGNAL_EXIT_BASE = 128;
+
+    private final CountDownLatch mStop = new CountDownLatch(1);
+
+    private DaemonProcess() {}
+
+    /**
+     * Runs a daemon that an operator started, and returns when it has stopped. The first SIGTERM or
+     * SIGINT starts a graceful stop, the second ends the process at once.
+     *
+     * @param daemon started already; stopped gracefully if it can be, then closed
+     * @throws Exception if the daemon cannot be closed
+     */
+    public static void run(AutoCloseable daemon) throws Exception {
+        DaemonProcess process = new DaemonProcess();
+        Signal.handle(new Signal("TERM"), process::stopOrEnd);
+        Signal.handle(new Signal("INT"), process::stopOrEnd);
+        process.await(daemon);
+    }
+
+    /**
+     * Runs a daemon below a supervisor, and returns when it has stopped. SIGTERM starts a graceful
+     * stop however often it comes, as the supervisor ends the process by force if it must; SIGHUP
+     * asks for the settings to be read again.
+     *
+     * @param daemon started already; stopped gracefully, then closed
+     * @param reload reads the settings again; runs on the thread of the signal
+     * @throws Exception if the daemon cannot be closed
+     */
+    public static void runSupervised(Daemon daemon, Runnable reload) throws Exception {
+        DaemonProcess process = new DaemonProcess();
+        Signal.handle(new Signal("TERM"), signal -> process.mStop.countDown());
+        Signal.handle(new Signal("HUP"), signal -> reload.run());
+        process.await(daemon);
+    }
+
+    private void await(AutoCloseable daemon) throws Exception {
+        mStop.await();
+        LogLine.info("stopping").write();
+        if (daemon instanceof Daemon graceful) {
+            graceful.stop().join();
+        }
+        daemon.close();
+        LogLine.info("stopped").write();
+    }
+
+    private synchronized void stopOrEnd(Signal signal) {
+        if (mStop.getCount() == 0) {
+            Runtime.getRuntime().halt(SIGNAL_EXIT_BASE + signal.getNumber());
+        }
+        mStop.countDown();
+    }
+}
--- a/command/src/main/java/org/ibisstand/command/Executor.java
+++ b/command/src/main/java/org/ibisstand/command/Executor.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.function.Function;
+import org.ibisstand.base.DaemonProcess;
 import org.ibisstand.base.Digests;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -145,6 +145,16 @@
         return daemon;
     }
 
+    /**
+     * Returns whether a line of the log tells of an ordinary success, which is worth least when the
+     * log is crowded.
+     *
+     * @param line the line as it is written
+     */
+    public static boolean isOrdinaryLine(String line) {
+        return RequestLog.isOrdinary(line);
+    }
+
     /** Returns whether new connections should be sent here. */
     public boolean isReady() {
         return mGateway.isServing() && !mGateway.isDraining();
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
@@ -31,6 +31,13 @@
             int attempts,
             boolean mayHaveRun) {}
 
+    /** Returns whether a line tells of a request that went as most do. */
+    static boolean isOrdinary(String line) {
+        return line.contains("event=placed")
+                || line.contains("outcome=answered")
+                || line.contains("outcome=streamed");
+    }
+
     long elapsedMilliseconds() {
         return mGateway.now() - mRequest.arrivedMilliseconds();
     }
