Move running streams to another engine before weights load or a server leaves

Ruled out: waiting for the longest answer (an engine serves nobody for 4 to 5 s, measured earlier); cutting runs, as streams that must not be resumed would be lost. Change: the gateway asks the engine to hand the run's memory to another engine with the same weights, and goes on there inside the same answer; where the copy finds no use, the engine that stopped the run goes on with it. The last engine of a round finds no other with its weights, and a refused move is not tried elsewhere yet.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -26,6 +26,7 @@
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mStarted;
     private boolean mEnded;
+    private boolean mMoveTried;
 
     Attempt(Forwarding forwarding, Gateway gateway, BackendServer server, int tokens) {
         mForwarding = forwarding;
@@ -114,6 +115,9 @@
         if (mRelay.isPresent()) {
             if (!mRelay.get().data(data)) {
                 mForwarding.attemptFailed(this, "overlong_event", true);
+            } else if (!mMoveTried && mServer.losesRuns(mGateway.now())) {
+                mMoveTried = true;
+                mForwarding.move(this);
             }
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
             mForwarding.attemptFailed(this, "overlong_answer", true);
@@ -144,17 +148,20 @@
     @Override
     public void broken(String reason) {
         if (mForwarding.isCurrent(this)) {
-            mForwarding.attemptFailed(this, reason, false);
+            mForwarding.streamEnded(() -> mForwarding.attemptFailed(this, reason, false));
         }
     }
 
     private void finishStream() {
-        if (mRelay.get().hasPartial()) {
-            mForwarding.attemptFailed(this, "stream_ends_inside_event", false);
-        } else {
-            mServer.succeeded();
-            mForwarding.streamed(this);
-        }
+        mForwarding.streamEnded(
+                () -> {
+                    if (mRelay.get().hasPartial()) {
+                        mForwarding.attemptFailed(this, "stream_ends_inside_event", false);
+                    } else {
+                        mServer.succeeded();
+                        mForwarding.streamed(this);
+                    }
+                });
     }
 
     private void finishWhole(HttpResponse head) {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -23,6 +23,9 @@
  * the connection.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
+    /** Instead of an identifier, for calls that belong to no request of a caller. */
+    static final String NO_REQUEST = "";
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
     private static final long MILLISECONDS = 1_000;
 
@@ -133,13 +136,14 @@
             return;
         }
         String identifier = head.headers().get(mNames.request());
-        boolean isOther = identifier != null && !identifier.equals(mRequest);
+        boolean isOther =
+                identifier != null && !identifier.equals(mRequest) && !mRequest.equals(NO_REQUEST);
         boolean isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
         mFramed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
         if (isOther) {
             mSkipping = true;
             mReusable = false;
-        } else if (identifier == null && isSuccess) {
+        } else if (identifier == null && isSuccess && !mRequest.equals(NO_REQUEST)) {
             fail("the answer names no request");
         } else if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             fail("the answer is encoded, which no caller asked for");
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -22,18 +22,18 @@
     private final Map<String, List<BackendServer>> mByService = new HashMap<>();
 
     /** Takes the servers that control lists now, and lets go of all others. */
-    void update(Collection<ServerRecord> records) {
+    void update(Collection<ServerRecord> records, long now) {
         Set<String> listed = new HashSet<>();
         for (ServerRecord record : records) {
             listed.add(record.getServer());
-            take(record);
+            take(record, now);
         }
         mServers.entrySet()
                 .removeIf(
                         server -> {
                             boolean leaves = !listed.contains(server.getKey());
                             if (leaves) {
-                                server.getValue().remove();
+                                server.getValue().remove(now);
                             }
                             return leaves;
                         });
@@ -82,21 +82,21 @@
         return mServers.values();
     }
 
-    private void take(ServerRecord record) {
+    private void take(ServerRecord record, long now) {
         BackendServer known = mServers.get(record.getServer());
         boolean isSame =
                 known != null
                         && known.record().getBornMilliseconds() == record.getBornMilliseconds()
                         && known.record().getAddress().equals(record.getAddress());
         if (isSame) {
-            known.renew(record);
+            known.renew(record, now);
             if (!known.takesRequests()) {
                 known.closeIdle();
             }
             return;
         }
         if (known != null) {
-            known.remove();
+            known.remove(now);
         }
         mServers.put(record.getServer(), new BackendServer(record));
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -34,6 +34,9 @@
     /** Agents repeat themselves every second; one that is silent for longer is down. */
     private static final long NOTICE_MILLISECONDS = 2_500;
 
+    /** Most runs end in this time; servers that leave go on for two seconds or more. */
+    private static final long LEAVING_MILLISECONDS = 800;
+
     private final Address mAddress;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
     private ServerRecord mRecord;
@@ -48,6 +51,7 @@
     private Optional<EngineNotice> mNotice = Optional.empty();
     private long mNoticeAt;
     private long mHeardAt;
+    private long mLeavingSince = Long.MAX_VALUE;
     private boolean mRemoved;
 
     BackendServer(ServerRecord record) {
@@ -67,8 +71,13 @@
         return mRecord;
     }
 
-    void renew(ServerRecord record) {
+    void renew(ServerRecord record, long now) {
         mRecord = record;
+        if (record.getState() == ServerRecord.State.READY) {
+            mLeavingSince = Long.MAX_VALUE;
+        } else {
+            mLeavingSince = Math.min(mLeavingSince, now);
+        }
     }
 
     boolean takesRequests() {
@@ -76,8 +85,9 @@
     }
 
     /** Closes idle connections; requests in progress go on. */
-    void remove() {
+    void remove(long now) {
         mRemoved = true;
+        mLeavingSince = Math.min(mLeavingSince, now);
         closeIdle();
     }
 
@@ -132,6 +142,17 @@
         return mNotice.filter(notice -> now - mNoticeAt < NOTICE_MILLISECONDS);
     }
 
+    /** Returns whether the engine loads weights, or will as soon as its runs have ended. */
+    boolean isLoading(long now) {
+        return notice(now).filter(EngineNotice::getLoading).isPresent();
+    }
+
+    /** Returns whether runs should go on elsewhere: the engine loads weights, or ends soon. */
+    boolean losesRuns(long now) {
+        return isLoading(now)
+                || (mLeavingSince != Long.MAX_VALUE && now - mLeavingSince > LEAVING_MILLISECONDS);
+    }
+
     private boolean isUnreachable(long now) {
         return notice(now).filter(EngineNotice::getUnreachable).isPresent();
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -12,9 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.settings.Route;
-import org.ibisstand.settings.Route.WeightedService;
-import org.ibisstand.settings.RoutedService;
-import org.ibisstand.settings.RoutingConfiguration.TeamKeys;
 
 /**
  * Serves one request of a caller: admits it, sends it to a backend server, to a further one where
@@ -28,26 +25,30 @@
     /** Servers that may refuse the request, or the connection, before the caller is refused. */
     private static final int MAXIMUM_NOT_RUN = 3;
 
-    /** The last place in an engine's queue. */
-    private static final int LEAST_URGENT = 9;
-
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerAnswer mCaller;
     private final RequestLog mLog;
     private final Set<BackendServer> mTried = new HashSet<>();
-    private Optional<Admission.Admitted> mAdmitted = Optional.empty();
-    private Optional<Prompt> mPrompt = Optional.empty();
-    private Optional<RoutedService> mService = Optional.empty();
+    private Optional<AdmittedRequest> mAdmitted = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<Future<?>> mTimer = Optional.empty();
     private Optional<StreamRelay> mStream = Optional.empty();
-    private long mLimitAt;
     private int mSent;
     private int mNotRun;
     private boolean mMayHaveRun;
+    private Optional<RunMove> mMove = Optional.empty();
+    private Optional<Continuation> mContinuation = Optional.empty();
     private boolean mDone;
 
+    /**
+     * A run that was stopped and goes on.
+     *
+     * @param runSource what the request says of the run's memory
+     * @param stoppedAt the engine that stopped it and keeps its memory for a while
+     */
+    private record Continuation(String runSource, BackendServer stoppedAt) {}
+
     Forwarding(Gateway gateway, CallerRequest request, CallerAnswer caller) {
         mGateway = gateway;
         mRequest = request;
@@ -75,59 +76,31 @@
         mAttempt.ifPresent(attempt -> attempt.setReading(reading));
     }
 
-    private void admit(Admission.Admitted admitted) {
+    private void admit(Admission.Admitted admission) {
+        AdmittedRequest admitted = new AdmittedRequest(mGateway, mRequest, admission);
         mAdmitted = Optional.of(admitted);
-        Route route = admitted.route();
-        mPrompt = mGateway.prompts().read(mRequest.headers());
-        mService = mGateway.table().get().service(drawService(route));
-        long limit = Math.min(route.timeoutMilliseconds(), deadline());
-        mLimitAt = mRequest.arrivedMilliseconds() + limit;
-        long left = mLimitAt - mGateway.now();
         mTimer =
                 Optional.of(
                         mGateway.loop()
-                                .schedule(this::expire, Math.max(0, left), TimeUnit.MILLISECONDS));
-        mGateway.allowance(serviceName()).first();
+                                .schedule(
+                                        this::expire,
+                                        Math.max(0, admitted.leftMilliseconds()),
+                                        TimeUnit.MILLISECONDS));
+        mGateway.allowance(admitted.serviceName()).first();
         attempt();
     }
 
-    private String drawService(Route route) {
-        int sum = route.services().stream().mapToInt(WeightedService::weight).sum();
-        int drawn = mGateway.random().nextInt(sum);
-        for (WeightedService weighted : route.services()) {
-            drawn -= weighted.weight();
-            if (drawn < 0) {
-                return weighted.service();
-            }
-        }
-        throw new IllegalStateException("the weights of a route add up to " + sum);
-    }
-
-    private long deadline() {
-        String text = mRequest.headers().get(mGateway.names().deadline(), "");
-        try {
-            return text.isEmpty() ? Long.MAX_VALUE / 2 : Math.max(0, Long.parseLong(text));
-        } catch (NumberFormatException e) {
-            mLog.event("deadline_unreadable", "text", text);
-            return Long.MAX_VALUE / 2;
-        }
-    }
-
     private void attempt() {
         if (mDone) {
             return;
         }
-        if (mService.isPresent() && mPrompt.isPresent() && mService.get().engine().isPresent()) {
-            PromptPlacement.Task task =
-                    new PromptPlacement.Task(
-                            mService.get(),
-                            mPrompt.get(),
-                            team(),
-                            mGateway.table().flatMap(RouteTable::cacheStore),
-                            Set.copyOf(mTried));
-            mGateway.promptPlacement().choose(task, this::send);
+        AdmittedRequest admitted = admitted();
+        if (admitted.isForEngine()) {
+            mGateway.promptPlacement().choose(admitted.task(mTried), this::send);
         } else {
-            send(mService.flatMap(service -> mGateway.placement().choose(service, mTried)));
+            send(
+                    admitted.service()
+                            .flatMap(service -> mGateway.placement().choose(service, mTried)));
         }
     }
 
@@ -139,48 +112,39 @@
             giveUp("no_server");
             return;
         }
-        BackendServer server = place.get().server();
-        mTried.add(server);
+        mContinuation = Optional.empty();
         mSent++;
-        int tokens = mPrompt.map(Prompt::promptTokens).orElse(0);
-        Attempt attempt = new Attempt(this, mGateway, server, tokens);
-        mAttempt = Optional.of(attempt);
-        mPrompt.ifPresent(prompt -> mGateway.promptPlacement().sent(prompt, place.get()));
-        mLog.placed(place.get(), mSent, mPrompt);
-        RequestCopy copy =
-                new RequestCopy(
-                        mGateway.names(), mRequest, mAdmitted.get().team(), mPrompt.isPresent());
-        attempt.send(copy.of(dispatch(place.get())), mRequest.identifier(), isRepeatable());
-        armSilence(attempt);
-    }
-
-    private RequestCopy.Dispatch dispatch(Placement.Place place) {
-        return new RequestCopy.Dispatch(
-                place.server().name(),
-                Math.max(1, mLimitAt - mGateway.now()),
-                mStream.flatMap(StreamRelay::lastEvent),
-                place.salt(),
-                place.source(),
-                place.target(),
-                place.weights(),
-                urgency());
+        admitted()
+                .prompt()
+                .ifPresent(prompt -> mGateway.promptPlacement().sent(prompt, place.get()));
+        sendTo(place.get());
     }
 
-    /** The priority of the team goes before that of the route. */
-    private int urgency() {
-        int priority =
-                mAdmitted
-                        .flatMap(Admission.Admitted::team)
-                        .flatMap(TeamKeys::priority)
-                        .orElse(route().priority());
-        return Math.clamp(priority, 0, LEAST_URGENT);
+    private void sendTo(Placement.Place place) {
+        BackendServer server = place.server();
+        mTried.add(server);
+        Optional<Prompt> prompt = admitted().prompt();
+        Attempt attempt =
+                new Attempt(this, mGateway, server, prompt.map(Prompt::promptTokens).orElse(0));
+        mAttempt = Optional.of(attempt);
+        mLog.placed(place, mSent, prompt);
+        attempt.send(
+                admitted()
+                        .copyFor(
+                                place,
+                                mStream.flatMap(StreamRelay::lastEvent),
+                                mContinuation.map(Continuation::runSource)),
+                mRequest.identifier(),
+                isRepeatable());
+        armSilence(attempt);
     }
 
     /** Notes the weights that made an answer. */
     void learnWeights(BackendServer server, String version) {
-        if (mPrompt.isPresent() && !version.isEmpty() && version.length() < Integer.SIZE / 2) {
+        Optional<Prompt> prompt = admitted().prompt();
+        if (prompt.isPresent() && !version.isEmpty() && version.length() < Integer.SIZE / 2) {
             try {
-                server.learnedWeights(mPrompt.get().model(), Long.parseLong(version));
+                server.learnedWeights(prompt.get().model(), Long.parseLong(version));
             } catch (NumberFormatException e) {
                 mLog.event("weights_unreadable", "text", version);
             }
@@ -193,7 +157,7 @@
      * first server is told to stop.
      */
     private void armSilence(Attempt attempt) {
-        Route route = mAdmitted.get().route();
+        Route route = route();
         if (route.repetition() != Route.Repetition.IDEMPOTENT) {
             return;
         }
@@ -204,7 +168,7 @@
                                 attemptFailed(attempt, "silent", true);
                             }
                         },
-                        Math.min(route.objectiveMilliseconds(), (mLimitAt - mGateway.now()) / 2),
+                        Math.min(route.objectiveMilliseconds(), admitted().leftMilliseconds() / 2),
                         TimeUnit.MILLISECONDS);
     }
 
@@ -213,7 +177,7 @@
     }
 
     Route route() {
-        return mAdmitted.get().route();
+        return admitted().route();
     }
 
     boolean isRepeatable() {
@@ -222,10 +186,14 @@
 
     /** No connection could be opened: the server has seen nothing. */
     void unsent(Attempt attempt, String reason) {
+        mLog.server("not_sent", attempt.server(), "reason", reason);
+        endAttempt(attempt);
+        if (mContinuation.isPresent()) {
+            goOnWhereItStopped(attempt, reason);
+            return;
+        }
         mNotRun++;
         mSent--;
-        endAttempt(attempt);
-        mLog.server("not_sent", attempt.server(), "reason", reason);
         if (mNotRun < MAXIMUM_NOT_RUN) {
             attempt();
         } else {
@@ -235,12 +203,17 @@
 
     /** The server said that it did not run the request. */
     void notRun(Attempt attempt, int status) {
+        endAttempt(attempt);
+        if (mContinuation.isPresent()) {
+            mLog.server("not_run", attempt.server(), "status", status);
+            goOnWhereItStopped(attempt, "refused_by_server");
+            return;
+        }
         mNotRun++;
         mSent--;
-        endAttempt(attempt);
         attempt.server().refused(mGateway.now());
         if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-            mPrompt.ifPresent(prompt -> suspectWeights(attempt.server(), prompt));
+            admitted().prompt().ifPresent(prompt -> suspectWeights(attempt.server(), prompt));
         }
         mLog.server("not_run", attempt.server(), "status", status);
         if (mNotRun < MAXIMUM_NOT_RUN) {
@@ -256,6 +229,79 @@
         server.learnedWeights(prompt.model(), named);
     }
 
+    /** The engine will serve nobody soon: the run goes on elsewhere, if an engine has room. */
+    void move(Attempt attempt) {
+        boolean cameBack =
+                mContinuation.filter(one -> one.stoppedAt() == attempt.server()).isPresent();
+        if (!admitted().isForEngine() || mMove.isPresent() || cameBack) {
+            return;
+        }
+        boolean isMovable = admitted().isMovable();
+        Optional<Placement.Place> refuge =
+                isMovable
+                        ? mGateway.promptPlacement()
+                                .refuge(admitted().task(mTried), attempt.server())
+                        : Optional.empty();
+        if (refuge.isEmpty()) {
+            mLog.server("run_stays", attempt.server(), "movable", isMovable);
+            return;
+        }
+        RunMove move = new RunMove(this, mGateway, attempt, refuge.get().server());
+        mMove = Optional.of(move);
+        move.start(mRequest.identifier());
+    }
+
+    /** The run stopped: it goes on from its memory, without being read again. */
+    void moved(Attempt attempt, BackendServer target, RunMoves.StoppedRun stopped) {
+        BackendServer from = attempt.server();
+        mMove = Optional.empty();
+        attempt.cancel();
+        endAttempt(attempt);
+        mLog.server("run_moved", from, "to", stopped.isCopied() ? target.name() : "");
+        mGateway.metrics().counted("runs_moved");
+        mContinuation =
+                Optional.of(new Continuation(from.address() + "/" + stopped.handle(), from));
+        sendTo(place(stopped.isCopied() ? target : from));
+    }
+
+    /** The run was not stopped: its stream goes on, or has ended by itself. */
+    void notMoved(
+            Attempt attempt, BackendServer target, String reason, Optional<Runnable> streamEnd) {
+        mMove = Optional.empty();
+        mLog.server("run_not_moved", attempt.server(), "reason", target.name() + " " + reason);
+        mGateway.metrics().counted("runs_not_moved");
+        streamEnd.ifPresent(Runnable::run);
+    }
+
+    /** A stream ended or broke off; what that means may depend on a move that was asked for. */
+    void streamEnded(Runnable meaning) {
+        mMove.ifPresentOrElse(move -> move.streamEnded(meaning), meaning);
+    }
+
+    /** Where a copy cannot be used the engine that stopped the run may go on with it, once. */
+    private void goOnWhereItStopped(Attempt attempt, String reason) {
+        BackendServer stoppedAt = mContinuation.get().stoppedAt();
+        if (attempt.server() != stoppedAt) {
+            sendTo(place(stoppedAt));
+        } else if (route().isIdempotent()) {
+            mContinuation = Optional.empty();
+            repeatOrGiveUp(reason);
+        } else {
+            giveUp(reason);
+        }
+    }
+
+    private Placement.Place place(BackendServer server) {
+        String model = admitted().prompt().get().model();
+        return new Placement.Place(
+                server,
+                Optional.empty(),
+                Optional.empty(),
+                admitted().task(mTried).salt(server),
+                server.weights(model),
+                0);
+    }
+
     /** The attempt may have run and has no whole answer. */
     void attemptFailed(Attempt attempt, String reason, boolean cancels) {
         endAttempt(attempt);
@@ -310,10 +356,10 @@
     }
 
     private boolean mayRepeat() {
-        boolean hasTime = mGateway.now() < mLimitAt;
+        boolean hasTime = admitted().leftMilliseconds() > 0;
         return hasTime
                 && mSent < route().maximumAttempts()
-                && mGateway.allowance(serviceName()).take(mGateway.entries());
+                && mGateway.allowance(admitted().serviceName()).take(mGateway.entries());
     }
 
     private void repeatOrGiveUp(String reason) {
@@ -375,6 +421,8 @@
     }
 
     private void endAttempt(Attempt attempt) {
+        mMove.ifPresent(RunMove::cancel);
+        mMove = Optional.empty();
         attempt.end();
         mAttempt = Optional.empty();
     }
@@ -388,18 +436,13 @@
                     attempt.end();
                 });
         mAttempt = Optional.empty();
+        mMove.ifPresent(RunMove::cancel);
+        mMove = Optional.empty();
         mRequest.body().release();
     }
 
-    private String serviceName() {
-        return mService.map(RoutedService::name).orElse("");
-    }
-
-    /** Prompts of isolated teams share no cache with others. */
-    private String team() {
-        Optional<TeamKeys> isolated =
-                mAdmitted.flatMap(Admission.Admitted::team).filter(TeamKeys::isolated);
-        return isolated.map(team -> "team-" + team.name()).orElse("shared");
+    private AdmittedRequest admitted() {
+        return mAdmitted.get();
     }
 
     private void logDone(int status, String server, String outcome) {
--- a/gateway/src/main/java/org/ibisstand/gateway/ForwardingHeaders.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/ForwardingHeaders.java
@@ -19,6 +19,8 @@
  * @param load running and waiting requests, slots and pace of a backend server
  * @param weights the version of the weights that made an answer
  * @param lastEvent the last event of a stream that the caller has
+ * @param runSource the address of the engine that stopped a run, and the handle of its memory, in a
+ *     request that goes on with the run
  * @param reserved all headers that callers must not set
  */
 public record ForwardingHeaders(
@@ -36,6 +38,7 @@
         String load,
         String weights,
         String lastEvent,
+        String runSource,
         Set<String> reserved) {
     /** Copies the set, so that the names never change. */
     public ForwardingHeaders {
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -21,6 +21,7 @@
     private final GatewaySettings mSettings;
     private final ForwardingHeaders mNames;
     private final PromptReader mPrompts;
+    private final RunMoves mRunMoves;
     private final EventLoop mLoop;
     private final Clock mClock;
     private final RandomGenerator mRandom;
@@ -42,6 +43,7 @@
             GatewaySettings settings,
             ForwardingHeaders names,
             PromptReader prompts,
+            RunMoves runMoves,
             WireContext wire,
             EventLoop loop,
             Clock clock,
@@ -50,6 +52,7 @@
         mSettings = settings;
         mNames = names;
         mPrompts = prompts;
+        mRunMoves = runMoves;
         mLoop = loop;
         mClock = clock;
         mRandom = random;
@@ -74,7 +77,7 @@
         mWeights.update(state.weights(), now());
         mEntries = state.entries();
         mDirectory.shareWith(state.entries());
-        mDirectory.update(state.servers());
+        mDirectory.update(state.servers(), now());
     }
 
     /** Takes what agents say of their engines. */
@@ -108,6 +111,10 @@
         return mPrompts;
     }
 
+    RunMoves runMoves() {
+        return mRunMoves;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -31,6 +31,7 @@
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.wire.WireContext;
 import org.ibisstand.wire.WireSettings;
+import org.ibisstand.wire.message.EngineNotices;
 
 /** One gateway: its server for callers and what it follows of control, until closed. */
 public final class GatewayDaemon implements AutoCloseable {
@@ -78,6 +79,7 @@
             GatewaySettings settings,
             ForwardingHeaders names,
             PromptReader prompts,
+            RunMoves runMoves,
             Clock clock,
             MetricRegistry metrics) {
         mSettings = settings;
@@ -97,18 +99,13 @@
                         settings,
                         names,
                         prompts,
+                        runMoves,
                         wire,
                         loop,
                         clock,
                         new SplittableRandom(),
                         metrics);
-        mFollower =
-                new FleetFollower(
-                        wire,
-                        mControlThread,
-                        true,
-                        this::update,
-                        notices -> loop.execute(() -> mGateway.noticed(notices)));
+        mFollower = new FleetFollower(wire, mControlThread, true, this::update, this::noticed);
         mServer = listen();
         loop.scheduleWithFixedDelay(
                 this::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
@@ -127,6 +124,7 @@
      * @param settings of the gateway
      * @param names of the headers
      * @param prompts reads what callers say of their prompts
+     * @param runMoves words the calls that move runs between engines
      * @param clock must not jump
      * @param metrics receives counts and times
      * @throws IbisstandException with PORT_IN_USE if the address cannot be bound
@@ -135,9 +133,11 @@
             GatewaySettings settings,
             ForwardingHeaders names,
             PromptReader prompts,
+            RunMoves runMoves,
             Clock clock,
             MetricRegistry metrics) {
-        GatewayDaemon daemon = new GatewayDaemon(settings, names, prompts, clock, metrics);
+        GatewayDaemon daemon =
+                new GatewayDaemon(settings, names, prompts, runMoves, clock, metrics);
         LogLine.info("gateway_started")
                 .with("callers", settings.callers())
                 .with("control", settings.control())
@@ -170,6 +170,11 @@
         return CompletableFuture.runAsync(() -> mGateway.update(state), mGroup.next());
     }
 
+    /** Takes what agents say of their engines; completes once it counts. */
+    CompletableFuture<Void> noticed(EngineNotices notices) {
+        return CompletableFuture.runAsync(() -> mGateway.noticed(notices), mGroup.next());
+    }
+
     /** Follows other members of control from now on. */
     public void follow(Collection<String> control) {
         mFollower.follow(control);
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -105,6 +105,47 @@
         }
     }
 
+    /**
+     * Returns an engine that can go on with a run of another one: the same weights, steady, and
+     * with room for the whole run. Many entries move runs at the same moment and see the same
+     * notices, so the better of two random engines is taken.
+     */
+    Optional<Place> refuge(Task task, BackendServer from) {
+        long now = mClock.millis();
+        Prompt prompt = task.prompt();
+        long weights = from.weights(prompt.model());
+        long needed = (long) prompt.promptTokens() + prompt.outputTokens();
+        long capacity = task.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
+        List<BackendServer> engines =
+                mDirectory.ready(task.service(), task.tried()).stream()
+                        .filter(one -> one != from && one.weights(prompt.model()) == weights)
+                        .filter(one -> !one.isLoading(now) && !one.isPaused(now))
+                        .filter(one -> usedTokens(one, now) + needed <= capacity)
+                        .toList();
+        List<ServerChoice.Candidate> candidates = new ArrayList<>();
+        for (int index = 0; index < engines.size(); index++) {
+            BackendServer engine = engines.get(index);
+            double busy = engine.notice(now).map(EngineNotice::getRunning).orElse(0);
+            candidates.add(new ServerChoice.Candidate(index, busy, engine.failureShare(), false));
+        }
+        return mChoice.ofTwo(candidates)
+                .map(
+                        one -> {
+                            BackendServer engine = engines.get(one.server());
+                            return new Place(
+                                    engine,
+                                    Optional.empty(),
+                                    Optional.empty(),
+                                    task.salt(engine),
+                                    weights,
+                                    one.cost());
+                        });
+    }
+
+    private static long usedTokens(BackendServer engine, long now) {
+        return engine.notice(now).map(EngineNotice::getUsedTokens).orElse(0L);
+    }
+
     /** Notes that a prompt was sent, so that its shared part is expected there. */
     void sent(Prompt prompt, Place place) {
         long now = mClock.millis();
@@ -123,7 +164,7 @@
                         .filter(server -> outdated(server, model, now) < LAST_USE_MILLISECONDS)
                         .toList();
         List<BackendServer> steady =
-                allowed.stream().filter(server -> !isLoading(server, now)).toList();
+                allowed.stream().filter(server -> !server.isLoading(now)).toList();
         return steady.isEmpty() ? allowed : steady;
     }
 
@@ -131,10 +172,6 @@
         return mWeights.outdatedMilliseconds(model, server.weights(model), now);
     }
 
-    private static boolean isLoading(BackendServer server, long now) {
-        return server.notice(now).filter(EngineNotice::getLoading).isPresent();
-    }
-
     /** Returns the salts of the prompt at the agents to ask. */
     private Map<String, String> asked(Task task, List<BackendServer> servers) {
         List<EngineCost.Engine> engines = views(task, servers, Map.of());
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
@@ -36,6 +36,7 @@
      * @param server the incarnation that it is meant for
      * @param leftMilliseconds how long the answer is waited for
      * @param lastEvent the last event that the caller has, if a stream goes on
+     * @param runSource where the memory of the run is that goes on, if one does
      * @param salt that the prompt is cached under
      * @param source where shared parts of the prompt are fetched from
      * @param target the store that keeps the prompt afterwards
@@ -46,6 +47,7 @@
             String server,
             long leftMilliseconds,
             Optional<String> lastEvent,
+            Optional<String> runSource,
             String salt,
             Optional<String> source,
             Optional<String> target,
@@ -59,6 +61,7 @@
         headers.set(mNames.expectedServer(), dispatch.server());
         mTeam.ifPresent(team -> headers.set(mNames.team(), team.name()));
         dispatch.lastEvent().ifPresent(event -> headers.set(mNames.lastEvent(), event));
+        dispatch.runSource().ifPresent(source -> headers.set(mNames.runSource(), source));
         if (mHasPrompt) {
             headers.set(mNames.cacheSalt(), dispatch.salt());
             headers.set(mNames.urgency(), dispatch.urgency());
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -19,7 +19,7 @@
     @Test
     void allEntriesTogetherStayWithinTheConnectionsOfAServer() {
         mDirectory.shareWith(7);
-        mDirectory.update(List.of(record("a", 1, State.READY)));
+        mDirectory.update(List.of(record("a", 1, State.READY)), 0);
         BackendServer server = mDirectory.ready(SERVICE, Set.of()).getFirst();
         int sent = 0;
         while (!mDirectory.ready(SERVICE, Set.of()).isEmpty()) {
@@ -31,18 +31,18 @@
 
     @Test
     void serversThatLeaveTakeNoRequests() {
-        mDirectory.update(List.of(record("a", 1, State.DRAINING), record("b", 1, State.READY)));
+        mDirectory.update(List.of(record("a", 1, State.DRAINING), record("b", 1, State.READY)), 0);
 
         assertThat(names()).containsExactly("b");
     }
 
     @Test
     void aNewIncarnationStartsAnew() {
-        mDirectory.update(List.of(record("a", 1, State.READY)));
+        mDirectory.update(List.of(record("a", 1, State.READY)), 0);
         BackendServer former = mDirectory.ready(SERVICE, Set.of()).getFirst();
         former.failed(0);
 
-        mDirectory.update(List.of(record("a", 2, State.READY)));
+        mDirectory.update(List.of(record("a", 2, State.READY)), 0);
 
         BackendServer present = mDirectory.ready(SERVICE, Set.of()).getFirst();
         assertThat(present).isNotSameInstanceAs(former);
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -52,6 +52,7 @@
                             1_500),
                     Samples.NAMES,
                     headers -> Optional.empty(),
+                    Samples.RUN_MOVES,
                     MonotonicClock.start(),
                     new MetricRegistry());
 
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -1,5 +1,10 @@
 package org.ibisstand.gateway;
 
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -32,8 +37,27 @@
                     "x-load",
                     "x-weights",
                     "last-event-id",
+                    "x-run-source",
                     Set.of("x-team", "x-salt", "x-source", "x-deadline"));
 
+    /** Moves runs by a call whose answer is the handle, and whose status says who holds it. */
+    static final RunMoves RUN_MOVES =
+            new RunMoves() {
+                @Override
+                public FullHttpRequest stopAndCopy(String request, String target) {
+                    return new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1, HttpMethod.POST, "/move/" + target);
+                }
+
+                @Override
+                public Optional<StoppedRun> read(int status, byte[] body) {
+                    String handle = new String(body, StandardCharsets.UTF_8);
+                    return handle.isEmpty()
+                            ? Optional.empty()
+                            : Optional.of(new StoppedRun(handle, status == 200));
+                }
+            };
+
     private Samples() {}
 
     static RoutingConfiguration configuration(String... prefixes) {
--- a/settings/src/main/java/org/ibisstand/settings/RoutedService.java
+++ b/settings/src/main/java/org/ibisstand/settings/RoutedService.java
@@ -25,6 +25,7 @@
      * @param cacheTokens the memory for running requests and cached prompts, in tokens
      * @param bytesPerToken the size of the KV cache of one token
      * @param linkMegabits the speed of the engine's link for KV cache, in megabits a second
+     * @param movesRuns whether an engine hands runs over to another one
      * @param models the models that engines serve
      */
     public record Engine(
@@ -32,6 +33,7 @@
             @Range(from = 1, to = Long.MAX_VALUE) long cacheTokens,
             @Range(from = 0, to = Long.MAX_VALUE) long bytesPerToken,
             double linkMegabits,
+            boolean movesRuns,
             List<String> models) {
         /** Copies the list, so that a profile never changes. */
         public Engine {
--- a/settings/src/test/java/org/ibisstand/settings/RoutingConfigurationReaderTest.java
+++ b/settings/src/test/java/org/ibisstand/settings/RoutingConfigurationReaderTest.java
@@ -128,7 +128,7 @@
 
     private static RoutingConfiguration configuration(List<Route> routes) {
         RoutedService.Engine engine =
-                new RoutedService.Engine(8, 1000, 96256, 1100000.0, List.of("model"));
+                new RoutedService.Engine(8, 1000, 96256, 1100000.0, true, List.of("model"));
         return new RoutingConfiguration(
                 7,
                 routes,
