Try a refused move elsewhere, and let the last engine of a round finish its runs

Ruled out: moving runs to newer weights (cache of other weights must not be used), a shorter round. Change: an engine whose runs nobody can take waits up to 2 s for them while engines with newer weights serve; a refused move is tried at up to three engines, and the one that refused gets a short pause. WeightsKeeperTest replays both loads.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -39,6 +39,12 @@
      */
     private static final Duration RUNNING_TIME = Duration.ofMillis(700);
 
+    /**
+     * The same where no other engine can take the runs over and newer weights serve elsewhere: half
+     * of the longest answers of the platforms' sheets, as most have begun long before.
+     */
+    private static final Duration LAST_RUNNING_TIME = Duration.ofMillis(2_000);
+
     /** Notices are repeated for entries and members that have restarted. */
     private static final Duration REPETITION = Duration.ofSeconds(1);
 
@@ -147,7 +153,7 @@
         }
         mStatus = Optional.of(status);
         tell(status);
-        if (due.isPresent() && isPrepared(status)) {
+        if (due.isPresent() && isPrepared(due.get(), status)) {
             order(due.get(), status);
         }
     }
@@ -157,13 +163,37 @@
         return mStatus;
     }
 
-    private boolean isPrepared(EngineStatus status) {
+    private boolean isPrepared(String model, EngineStatus status) {
         if (status.loading() || mPreparedAt.isEmpty()) {
             return false;
         }
         Duration since = Duration.between(mPreparedAt.get(), mClock.instant());
         boolean isEmpty = status.waiting() == 0 && status.running() == 0;
-        return (isEmpty && since.compareTo(NOTICE_TIME) >= 0) || since.compareTo(RUNNING_TIME) >= 0;
+        Duration longest = isLast(model, status) ? LAST_RUNNING_TIME : RUNNING_TIME;
+        return (isEmpty && since.compareTo(NOTICE_TIME) >= 0) || since.compareTo(longest) >= 0;
+    }
+
+    /** Returns whether others have newer weights and no other could go on with the runs. */
+    private boolean isLast(String model, EngineStatus status) {
+        long loaded = status.weights().get(model);
+        List<ServerRecord> steady =
+                engines().stream()
+                        .filter(one -> !one.getAddress().equals(mAddress) && !isLoading(one))
+                        .toList();
+        return steady.stream().noneMatch(one -> versionOf(one, model) == loaded)
+                && steady.stream().anyMatch(one -> versionOf(one, model) > loaded);
+    }
+
+    /** Returns the engines of the service; empty while this one is not listed. */
+    private List<ServerRecord> engines() {
+        Optional<String> service =
+                mServers.stream()
+                        .filter(one -> one.getAddress().equals(mAddress))
+                        .map(ServerRecord::getService)
+                        .findFirst();
+        return mServers.stream()
+                .filter(one -> service.filter(one.getService()::equals).isPresent())
+                .toList();
     }
 
     private void tell(EngineStatus status) {
@@ -204,12 +234,8 @@
         if (self.isEmpty()) {
             return true;
         }
-        List<ServerRecord> engines =
-                mServers.stream()
-                        .filter(one -> one.getService().equals(self.get().getService()))
-                        .toList();
         List<LoadTurn.Engine> others =
-                engines.stream()
+                engines().stream()
                         .map(
                                 one ->
                                         new LoadTurn.Engine(
--- a/agent/src/test/java/org/ibisstand/agent/WeightsKeeperTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/WeightsKeeperTest.java
@@ -14,6 +14,8 @@
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class WeightsKeeperTest {
     private static final String ADDRESS = "10.0.0.1:1";
@@ -54,6 +56,26 @@
         assertThat(mOffice.mOrders).containsExactly("2 continues 7");
     }
 
+    @ParameterizedTest
+    @CsvSource({"2, 2000", "1, 700"})
+    void waitsLongerWhereNoOtherEngineCanTakeTheRunsOver(long othersVersion, long waits) {
+        mOffice.mRunning = 3;
+        mKeeper.update(
+                new FleetState(
+                        Optional.empty(),
+                        Map.of("model", 2L),
+                        List.of(
+                                record("self", ADDRESS, 1),
+                                record("other", "10.0.0.2:1", othersVersion)),
+                        1));
+        ticks(Duration.ofMillis(waits));
+        assertThat(mOffice.mOrders).isEmpty();
+
+        ticks(Duration.ofMillis(200));
+
+        assertThat(mOffice.mOrders).containsExactly("2 continues 7");
+    }
+
     @Test
     void skipsWeightsThatWereOvertaken() {
         named(2);
@@ -86,15 +108,21 @@
     }
 
     private void named(long version) {
-        ServerRecord self =
-                ServerRecord.newBuilder()
-                        .setServer("self")
-                        .setService("service")
-                        .setAddress(ADDRESS)
-                        .putWeights("model", 1)
-                        .build();
         mKeeper.update(
-                new FleetState(Optional.empty(), Map.of("model", version), List.of(self), 1));
+                new FleetState(
+                        Optional.empty(),
+                        Map.of("model", version),
+                        List.of(record("self", ADDRESS, 1)),
+                        1));
+    }
+
+    private static ServerRecord record(String server, String address, long version) {
+        return ServerRecord.newBuilder()
+                .setServer(server)
+                .setService("service")
+                .setAddress(address)
+                .putWeights("model", version)
+                .build();
     }
 
     private void ticks(Duration duration) {
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -26,7 +26,6 @@
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mStarted;
     private boolean mEnded;
-    private boolean mMoveTried;
 
     Attempt(Forwarding forwarding, Gateway gateway, BackendServer server, int tokens) {
         mForwarding = forwarding;
@@ -115,8 +114,7 @@
         if (mRelay.isPresent()) {
             if (!mRelay.get().data(data)) {
                 mForwarding.attemptFailed(this, "overlong_event", true);
-            } else if (!mMoveTried && mServer.losesRuns(mGateway.now())) {
-                mMoveTried = true;
+            } else if (mServer.losesRuns(mGateway.now())) {
                 mForwarding.move(this);
             }
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -25,6 +25,9 @@
     /** Servers that may refuse the request, or the connection, before the caller is refused. */
     private static final int MAXIMUM_NOT_RUN = 3;
 
+    /** Other engines that are asked to take a run over; one refuses if it has no room. */
+    private static final int MAXIMUM_REFUSED_MOVES = 3;
+
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerAnswer mCaller;
@@ -38,6 +41,7 @@
     private int mNotRun;
     private boolean mMayHaveRun;
     private Optional<RunMove> mMove = Optional.empty();
+    private int mRefusedMoves;
     private Optional<Continuation> mContinuation = Optional.empty();
     private boolean mDone;
 
@@ -233,7 +237,10 @@
     void move(Attempt attempt) {
         boolean cameBack =
                 mContinuation.filter(one -> one.stoppedAt() == attempt.server()).isPresent();
-        if (!admitted().isForEngine() || mMove.isPresent() || cameBack) {
+        if (!admitted().isForEngine()
+                || mMove.isPresent()
+                || mRefusedMoves == MAXIMUM_REFUSED_MOVES
+                || cameBack) {
             return;
         }
         boolean isMovable = admitted().isMovable();
@@ -243,6 +250,7 @@
                                 .refuge(admitted().task(mTried), attempt.server())
                         : Optional.empty();
         if (refuge.isEmpty()) {
+            mRefusedMoves = MAXIMUM_REFUSED_MOVES;
             mLog.server("run_stays", attempt.server(), "movable", isMovable);
             return;
         }
@@ -254,6 +262,7 @@
     /** The run stopped: it goes on from its memory, without being read again. */
     void moved(Attempt attempt, BackendServer target, RunMoves.StoppedRun stopped) {
         BackendServer from = attempt.server();
+        mRefusedMoves = 0;
         mMove = Optional.empty();
         attempt.cancel();
         endAttempt(attempt);
@@ -268,6 +277,9 @@
     void notMoved(
             Attempt attempt, BackendServer target, String reason, Optional<Runnable> streamEnd) {
         mMove = Optional.empty();
+        mRefusedMoves++;
+        mTried.add(target);
+        target.refused(mGateway.now());
         mLog.server("run_not_moved", attempt.server(), "reason", target.name() + " " + reason);
         mGateway.metrics().counted("runs_not_moved");
         streamEnd.ifPresent(Runnable::run);
