Tell watchers of the fleet what changed, and ask engines of a large fleet less often

Each change of one server went to each of 63 watchers from each of 6 to 8 members as the whole list of 39 to 70 servers. Change: an update holds the servers that changed since the last one on the connection; the whole list comes first, and after the directory forgot servers, at most once a minute. Updates are made once for all watchers that lack the same. Agents of fleets over ten engines ask every 100 to 250 ms, as notices go out no more often.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -45,6 +45,9 @@
      */
     private static final Duration LAST_RUNNING_TIME = Duration.ofMillis(2_000);
 
+    /** Between questions to an engine of a large fleet that has no weights to load. */
+    private static final Duration LONGEST_STATUS_PAUSE = Duration.ofMillis(250);
+
     /** Notices are repeated for entries and members that have restarted. */
     private static final Duration REPETITION = Duration.ofSeconds(1);
 
@@ -63,6 +66,7 @@
     private Optional<Instant> mPreparedAt = Optional.empty();
     private Optional<EngineNotice> mTold = Optional.empty();
     private Instant mToldAt = Instant.MIN;
+    private Instant mNextStatus = Instant.MIN;
     private long mSequence;
     private boolean mIsReachable = true;
 
@@ -102,6 +106,7 @@
                                 mNamed.put(model, version);
                                 mNamedAt.computeIfAbsent(model, one -> new TreeMap<>())
                                         .put(version, mClock.instant());
+                                mNextStatus = Instant.MIN;
                                 LogLine.info("weights_named")
                                         .with("model", model)
                                         .with("version", version)
@@ -119,7 +124,7 @@
     void tick() {
         Instant now = mClock.instant();
         boolean isWaiting = mAskedAt.filter(at -> at.plus(PATIENCE).isAfter(now)).isPresent();
-        if (!isWaiting) {
+        if (!isWaiting && !now.isBefore(mNextStatus)) {
             mAskedAt = Optional.of(now);
             mOffice.status().whenCompleteAsync(this::answered, mControlThread);
         }
@@ -152,12 +157,23 @@
             mPreparedAt = Optional.empty();
         }
         mStatus = Optional.of(status);
+        boolean isSteady = mPreparedAt.isEmpty() && !status.loading();
+        mNextStatus = isSteady ? mClock.instant().plus(statusPause()) : Instant.MIN;
         tell(status);
         if (due.isPresent() && isPrepared(due.get(), status)) {
             order(due.get(), status);
         }
     }
 
+    /** What is told less often need not be asked more often; a small fleet asks at every tick. */
+    private Duration statusPause() {
+        Duration pause = NoticePace.pause(mServers.size());
+        if (pause.compareTo(NoticePace.pause(0)) <= 0) {
+            return Duration.ZERO;
+        }
+        return pause.compareTo(LONGEST_STATUS_PAUSE) < 0 ? pause : LONGEST_STATUS_PAUSE;
+    }
+
     /** Returns the last status of the engine. */
     Optional<EngineStatus> status() {
         return mStatus;
--- a/control/src/main/java/org/ibisstand/control/FleetWatchers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetWatchers.java
@@ -1,6 +1,7 @@
 package org.ibisstand.control;
 
 import java.time.Clock;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +59,7 @@
         List<String> members = mMembers.get();
         int entries = (int) mWatchers.values().stream().filter(Position::isEntry).count();
         boolean complete = mDirectory.isComplete(mClock.instant());
+        Map<Lack, FleetUpdate> updates = new HashMap<>();
         mWatchers.replaceAll(
                 (connection, position) -> {
                     Position now =
@@ -73,7 +75,9 @@
                     if (now.equals(position) || !connection.isWritable()) {
                         return position;
                     }
-                    send(connection, position, now);
+                    FleetUpdate update =
+                            updates.computeIfAbsent(position.lack(), lack -> update(lack, now));
+                    connection.send(now.correlation(), Frame.newBuilder().setFleetUpdate(update));
                     return now;
                 });
     }
@@ -90,21 +94,30 @@
                 });
     }
 
-    private void send(WireConnection connection, Position before, Position now) {
+    /** Returns what watchers lack, which is the same for most of them. */
+    private FleetUpdate update(Lack lack, Position now) {
         FleetUpdate.Builder update =
                 FleetUpdate.newBuilder()
                         .setRoutingVersion(mState.routing().version())
                         .putAllWeights(mState.routing().weights())
-                        .addAllServers(mDirectory.records())
                         .addAllMembers(now.members())
                         .setEntries(now.entries())
                         .setComplete(now.complete());
-        if (now.isEntry() && mState.routing().version() > before.version()) {
+        if (mDirectory.tellsChangesSince(lack.directoryRevision())) {
+            update.addAllServers(mDirectory.changedSince(lack.directoryRevision()))
+                    .addAllUnlisted(mDirectory.unlistedSince(lack.directoryRevision()));
+        } else {
+            update.setWhole(true).addAllServers(mDirectory.records());
+        }
+        if (lack.isEntry() && mState.routing().version() > lack.version()) {
             update.setRouting(mState.routing().json());
         }
-        connection.send(now.correlation(), Frame.newBuilder().setFleetUpdate(update));
+        return update.build();
     }
 
+    /** What decides which update a watcher needs. */
+    private record Lack(boolean isEntry, long version, long directoryRevision) {}
+
     /** What a watcher has been told. */
     private record Position(
             long correlation,
@@ -114,5 +127,9 @@
             int weights,
             List<String> members,
             int entries,
-            boolean complete) {}
+            boolean complete) {
+        Lack lack() {
+            return new Lack(isEntry, version, directoryRevision);
+        }
+    }
 }
--- a/control/src/main/java/org/ibisstand/control/ServerDirectory.java
+++ b/control/src/main/java/org/ibisstand/control/ServerDirectory.java
@@ -32,12 +32,15 @@
     private final Map<String, Heard> mServers = new TreeMap<>();
     private final Map<String, String> mServerAtAddress = new HashMap<>();
     private Instant mLastTick;
+    private Instant mNextForgetting;
+    private long mForgottenRevision;
     private long mRevision = 1;
 
     private ServerDirectory(Duration announcementInterval, Instant now) {
         mSilenceLimit = announcementInterval.multipliedBy(MISSED_ANNOUNCEMENTS);
         mCompleteAt = now.plus(mSilenceLimit);
         mLastTick = now;
+        mNextForgetting = now.plus(REMEMBERED);
     }
 
     /**
@@ -72,10 +75,8 @@
         ServerRecord record = keepDraining(announced, known);
         takeAddress(record, now);
         boolean changed = known == null || known.mSilent || !isSameTo(record, known.record());
-        mServers.put(record.getServer(), new Heard(record, now));
-        if (changed) {
-            mRevision++;
-        }
+        long revision = changed ? ++mRevision : known.mRevision;
+        mServers.put(record.getServer(), new Heard(record, now, revision));
         return true;
     }
 
@@ -94,11 +95,25 @@
         for (Heard heard : mServers.values()) {
             if (!heard.mSilent && heard.mAt.plus(mSilenceLimit).isBefore(now)) {
                 heard.mSilent = true;
-                mRevision++;
+                heard.mRevision = ++mRevision;
             }
         }
-        mServers.values()
-                .removeIf(heard -> heard.isOver() && heard.mAt.plus(REMEMBERED).isBefore(now));
+        if (!now.isBefore(mNextForgetting)) {
+            forget(now);
+        }
+    }
+
+    /** Seldom, since watchers get whole lists afterwards. */
+    private void forget(Instant now) {
+        mNextForgetting = now.plus(REMEMBERED);
+        boolean hasForgotten =
+                mServers.values()
+                        .removeIf(
+                                heard ->
+                                        heard.isOver() && heard.mAt.plus(REMEMBERED).isBefore(now));
+        if (hasForgotten) {
+            mForgottenRevision = ++mRevision;
+        }
     }
 
     /** Returns whether the directory has run long enough to have heard of all servers. */
@@ -111,6 +126,27 @@
         return mRevision;
     }
 
+    /** Returns whether changes since a revision can be told, rather than the whole list. */
+    boolean tellsChangesSince(long revision) {
+        return revision > 0 && revision >= mForgottenRevision;
+    }
+
+    /** Returns the listed servers whose records changed after a revision. */
+    List<ServerRecord> changedSince(long revision) {
+        return mServers.values().stream()
+                .filter(heard -> !heard.mSilent && heard.mRevision > revision)
+                .map(Heard::record)
+                .toList();
+    }
+
+    /** Returns the servers that fell silent after a revision. */
+    List<String> unlistedSince(long revision) {
+        return mServers.values().stream()
+                .filter(heard -> heard.mSilent && heard.mRevision > revision)
+                .map(heard -> heard.record().getServer())
+                .toList();
+    }
+
     List<ServerRecord> records() {
         return mServers.values().stream()
                 .filter(heard -> !heard.mSilent)
@@ -160,7 +196,7 @@
                 && heard.mRecord.getState() != State.GONE) {
             heard.mRecord = heard.mRecord.toBuilder().setState(State.GONE).build();
             heard.mAt = now;
-            mRevision++;
+            heard.mRevision = ++mRevision;
         }
     }
 
@@ -179,11 +215,13 @@
     private static final class Heard {
         private ServerRecord mRecord;
         private Instant mAt;
+        private long mRevision;
         private boolean mSilent;
 
-        Heard(ServerRecord record, Instant at) {
+        Heard(ServerRecord record, Instant at, long revision) {
             mRecord = record;
             mAt = at;
+            mRevision = revision;
         }
 
         ServerRecord record() {
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -146,7 +146,9 @@
             return;
         }
         takeRouting(update);
-        mUpdates.put(connection, update.toBuilder().clearRouting().build());
+        FleetUpdate before = mUpdates.getOrDefault(connection, FleetUpdate.getDefaultInstance());
+        mUpdates.put(
+                connection, FleetMerge.joined(before, update.toBuilder().clearRouting().build()));
         connect();
         mServers = FleetMerge.servers(mUpdates.values(), mServers);
         mWeights = FleetMerge.weights(mUpdates.values(), mWeights);
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetMerge.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetMerge.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -40,6 +41,27 @@
         return servers.values().stream().filter(one -> one.getState() != State.GONE).toList();
     }
 
+    /**
+     * Returns what one member knows after a further update of it.
+     *
+     * @param before what it had told, whole
+     * @param update the next update on the same connection
+     */
+    static FleetUpdate joined(FleetUpdate before, FleetUpdate update) {
+        if (update.getWhole()) {
+            return update;
+        }
+        Map<String, ServerRecord> servers = new LinkedHashMap<>();
+        before.getServersList().forEach(record -> servers.put(record.getServer(), record));
+        update.getServersList().forEach(record -> servers.put(record.getServer(), record));
+        servers.keySet().removeAll(update.getUnlistedList());
+        return update.toBuilder()
+                .clearServers()
+                .clearUnlisted()
+                .addAllServers(servers.values())
+                .build();
+    }
+
     /** Returns the highest named version of each model. */
     static Map<String, Long> weights(Collection<FleetUpdate> updates, Map<String, Long> before) {
         Map<String, Long> weights = new HashMap<>(before);
--- a/fleet/src/test/java/org/ibisstand/fleet/FleetMergeTest.java
+++ b/fleet/src/test/java/org/ibisstand/fleet/FleetMergeTest.java
@@ -63,6 +63,29 @@
         assertThat(FleetMerge.weights(List.of(update), Map.of("m", 3L))).containsExactly("m", 3L);
     }
 
+    @Test
+    void aChangeIsJoinedToWhatTheMemberHadTold() {
+        FleetUpdate before =
+                update(
+                        true,
+                        record("a", 1, 1, State.READY),
+                        record("b", 1, 1, State.READY),
+                        record("c", 1, 1, State.READY));
+        FleetUpdate change =
+                update(true, record("b", 1, 2, State.DRAINING), record("d", 1, 1, State.READY))
+                        .toBuilder()
+                        .addUnlisted("c")
+                        .build();
+
+        FleetUpdate joined = FleetMerge.joined(before, change);
+
+        assertThat(joined.getServersList().stream().map(ServerRecord::getServer))
+                .containsExactly("a", "b", "d");
+        assertThat(joined.getServers(1).getState()).isEqualTo(State.DRAINING);
+        assertThat(FleetMerge.joined(joined, change.toBuilder().setWhole(true).build()))
+                .isEqualTo(change.toBuilder().setWhole(true).build());
+    }
+
     private static FleetUpdate update(boolean complete, ServerRecord... records) {
         return FleetUpdate.newBuilder()
                 .setComplete(complete)
