--- a/command/src/main/java/org/ibisstand/command/ExitCode.java
+++ b/command/src/main/java/org/ibisstand/command/ExitCode.java
@@ -3,7 +3,7 @@
 import org.ibisstand.base.ErrorCode;
 
 /** The exit codes of the executable. */
-enum ExitCode {
+public enum ExitCode {
     OK(0),
     REFUSED(1),
     USAGE(2),
@@ -17,7 +17,8 @@
         mNumber = number;
     }
 
-    int number() {
+    /** Returns the number that the shell sees. */
+    public int number() {
         return mNumber;
     }
 
--- a/command/src/main/java/org/ibisstand/command/Main.java
+++ b/command/src/main/java/org/ibisstand/command/Main.java
@@ -15,7 +15,15 @@
     private final Reader mInput;
     private final Function<String, String> mEnvironment;
 
-    Main(
+    /**
+     * Creates an executable for use inside another program.
+     *
+     * @param output receives results
+     * @param errors receives what went wrong
+     * @param input where a token is read from
+     * @param environment looks up environment variables; null for those that are not set
+     */
+    public Main(
             PrintStream output,
             PrintStream errors,
             Reader input,
@@ -38,7 +46,12 @@
         System.exit(main.run(arguments).number());
     }
 
-    ExitCode run(String... arguments) {
+    /**
+     * Runs a command line and returns when it is done.
+     *
+     * @param arguments the words after the name of the executable
+     */
+    public ExitCode run(String... arguments) {
         try {
             new Executor(mOutput, mInput, mEnvironment).execute(InvocationParser.parse(arguments));
             return ExitCode.OK;
--- /dev/null
+++ b/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
@@ -0,0 +1,276 @@
+package org.ibisstand.faults;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.Reader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.ibisstand.base.MonotonicClock;
+import org.ibisstand.command.Main;
+import org.ibisstand.control.ControlDaemon;
+import org.ibisstand.control.ReplicatedLog;
+import org.ibisstand.gateway.ForwardingHeaders;
+import org.ibisstand.gateway.GatewayDaemon;
+import org.ibisstand.gateway.GatewaySettings;
+import org.ibisstand.settings.Address;
+import org.ibisstand.settings.Administration;
+import org.ibisstand.settings.ControlSettings;
+import org.ibisstand.settings.Route;
+import org.ibisstand.settings.Route.Repetition;
+import org.ibisstand.settings.Route.WeightedService;
+import org.ibisstand.settings.RoutedService;
+import org.ibisstand.settings.RoutingConfiguration;
+import org.ibisstand.settings.RoutingConfiguration.CallerLimits;
+import org.ibisstand.settings.RoutingConfigurationReader;
+import org.ibisstand.settings.WireListen;
+import org.ibisstand.wire.message.ServerRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Requests that fail on the real path, from a member of control through a gateway to a backend
+ * server, and what the operators' command says of each from the log alone.
+ */
+@Timeout(60)
+class ExplainTest {
+    private static final String HOST = "127.0.0.1";
+    private static final String NOT_RUN = "x-not-executed";
+    private static final int PATIENCE_MILLISECONDS = 20_000;
+
+    private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
+    private final PrintStream mError = System.err;
+    private final PrintStream mOutput = System.out;
+
+    @TempDir private Path mFolder;
+    private ServerSocket mBackend;
+    private ControlDaemon mControl;
+    private GatewayDaemon mGateway;
+
+    @BeforeEach
+    void start() throws IOException {
+        PrintStream log = new PrintStream(mLog, true, StandardCharsets.UTF_8);
+        System.setErr(log);
+        System.setOut(log);
+        mBackend = new ServerSocket(0, 50, InetAddress.getByName(HOST));
+        int wirePort = FreePorts.next();
+        mControl =
+                ControlDaemon.start(
+                        controlSettings(wirePort, FreePorts.next()), ReplicatedLog::open);
+        mGateway =
+                GatewayDaemon.start(
+                        new GatewaySettings(
+                                "gateway",
+                                "zone",
+                                new Address(HOST, 0),
+                                List.of(HOST + ":" + wirePort),
+                                1,
+                                100,
+                                10_000,
+                                2_000),
+                        names(),
+                        headers -> Optional.empty(),
+                        new NoRunMoves(),
+                        MonotonicClock.start(),
+                        new MetricRegistry());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mGateway.close();
+        mControl.close();
+        mBackend.close();
+        System.setErr(mError);
+        System.setOut(mOutput);
+    }
+
+    @Test
+    void aRefusalNamesTheServerThatDidNotRunIt() throws IOException {
+        serve(
+                Repetition.ONCE,
+                "HTTP/1.1 503 X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n".formatted(NOT_RUN));
+
+        assertThat(call("refused-1")).startsWith("HTTP/1.1 503");
+
+        String story = explain("refused-1");
+        assertThat(story).contains("server-1 refused with 503 and did not run it");
+        assertThat(story).contains("conclusion: refused and not run");
+    }
+
+    @Test
+    void aCallThatMayHaveRunNamesTheServerAndTheReason() throws IOException {
+        serve(Repetition.ONCE, "");
+
+        assertThat(call("unknown-1")).startsWith("HTTP/1.1 502");
+
+        String story = explain("unknown-1");
+        assertThat(story).contains("server-1 may have run it and failed");
+        assertThat(story).contains("conclusion: may have run at server-1");
+    }
+
+    @Test
+    void aBrokenStreamNamesWhereItBroke() throws IOException {
+        serve(
+                Repetition.STREAM,
+                "HTTP/1.1 200 X\r\nx-request: broken-1\r\nx-signature: s\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+
+        assertThat(call("broken-1")).contains("data: a");
+
+        String story = explain("broken-1");
+        assertThat(story).contains("server-1 may have run it and failed");
+        assertThat(story).contains("conclusion: the stream broke off");
+    }
+
+    /** Puts the configuration, announces the server, and waits until the gateway serves. */
+    private void serve(Repetition repetition, String answer) throws IOException {
+        CompletableFuture.runAsync(() -> answerAll(answer), command -> new Thread(command).start());
+        RoutingConfiguration configuration = configuration(repetition);
+        byte[] json = RoutingConfigurationReader.create().write(configuration);
+        boolean isPut = false;
+        while (!isPut) {
+            isPut =
+                    mControl.fleet()
+                            .putRouting(1, json, json)
+                            .handle((version, failure) -> failure == null)
+                            .join();
+        }
+        mControl.fleet()
+                .heard(
+                        ServerRecord.newBuilder()
+                                .setServer("server-1")
+                                .setService("service")
+                                .setAddress(HOST + ":" + mBackend.getLocalPort())
+                                .setBornMilliseconds(1)
+                                .setSequence(1)
+                                .setSlots(4)
+                                .build())
+                .join();
+        int probe = 0;
+        while (explain("probe-" + probe).contains("no_server") || !mGateway.isReady()) {
+            probe++;
+            call("probe-" + probe);
+        }
+    }
+
+    private void answerAll(String answer) {
+        try {
+            while (true) {
+                try (Socket connection = mBackend.accept()) {
+                    read(connection.getInputStream());
+                    connection.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                    connection.getOutputStream().flush();
+                }
+            }
+        } catch (SocketException e) {
+            mError.println("the backend server ended: " + e.getMessage());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void read(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int next = input.read();
+        while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) next);
+            next = head.indexOf("\r\n\r\n") < 0 ? input.read() : next;
+        }
+    }
+
+    private String call(String identifier) throws IOException {
+        try (Socket caller = new Socket(HOST, mGateway.port())) {
+            caller.setSoTimeout(PATIENCE_MILLISECONDS);
+            String request =
+                    "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: "
+                            + identifier
+                            + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private String explain(String identifier) throws IOException {
+        Path file = mFolder.resolve("log");
+        Files.write(file, mLog.toByteArray());
+        ByteArrayOutputStream story = new ByteArrayOutputStream();
+        PrintStream output = new PrintStream(story, true, StandardCharsets.UTF_8);
+        new Main(output, output, Reader.nullReader(), name -> null)
+                .run("explain", identifier, file.toString());
+        return story.toString(StandardCharsets.UTF_8);
+    }
+
+    private ControlSettings controlSettings(int wirePort, int administrationPort) {
+        return new ControlSettings(
+                "member-1",
+                "zone",
+                new WireListen(HOST, wirePort, Optional.empty()),
+                new Administration(HOST, administrationPort, "0".repeat(64)),
+                mFolder.resolve("data").toString(),
+                List.of(new ControlSettings.Member("member-1", new Address(HOST, wirePort))),
+                false,
+                new ControlSettings.Limits(1_000, 1 << 20, 1, 2),
+                new ControlSettings.Timing(600, 100, 3_600_000, 30_000, 1_000));
+    }
+
+    private static RoutingConfiguration configuration(Repetition repetition) {
+        Route route =
+                new Route(
+                        "route",
+                        "h.example",
+                        "/p/",
+                        repetition,
+                        5_000,
+                        500,
+                        0,
+                        List.of(new WeightedService("service", 1)),
+                        1,
+                        true,
+                        false,
+                        400);
+        return new RoutingConfiguration(
+                1,
+                List.of(route),
+                List.of(
+                        new RoutedService(
+                                "service", "/health", 100, Optional.empty(), Optional.empty())),
+                new CallerLimits(16384, 100_000, 3000, 15000),
+                Optional.empty());
+    }
+
+    private static ForwardingHeaders names() {
+        return new ForwardingHeaders(
+                "x-request",
+                "x-deadline",
+                "x-team",
+                "x-expected-server",
+                "x-expected-weights",
+                "x-salt",
+                "x-source",
+                "x-target",
+                "x-urgency",
+                NOT_RUN,
+                "x-signature",
+                "x-load",
+                "x-weights",
+                "last-event-id",
+                "x-run-source",
+                Set.of());
+    }
+}
