Wait a second for the first configuration instead of refusing, and give moving runs a class

Ruled out: a later listen (callers then find no server at all); a configuration kept on the gateway's disk (most have none, and an old one must not come back). Change: such requests wait up to a second and are then served or refused. GatewayDaemonTest drives both; the first failed before the change.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -115,7 +115,7 @@
             if (!mRelay.get().data(data)) {
                 mForwarding.attemptFailed(this, "overlong_event", true);
             } else if (mServer.losesRuns(mGateway.now())) {
-                mForwarding.move(this);
+                mForwarding.run().move(this);
             }
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
             mForwarding.attemptFailed(this, "overlong_answer", true);
@@ -146,20 +146,22 @@
     @Override
     public void broken(String reason) {
         if (mForwarding.isCurrent(this)) {
-            mForwarding.streamEnded(() -> mForwarding.attemptFailed(this, reason, false));
+            mForwarding.run().streamEnded(() -> mForwarding.attemptFailed(this, reason, false));
         }
     }
 
     private void finishStream() {
-        mForwarding.streamEnded(
-                () -> {
-                    if (mRelay.get().hasPartial()) {
-                        mForwarding.attemptFailed(this, "stream_ends_inside_event", false);
-                    } else {
-                        mServer.succeeded();
-                        mForwarding.streamed(this);
-                    }
-                });
+        mForwarding
+                .run()
+                .streamEnded(
+                        () -> {
+                            if (mRelay.get().hasPartial()) {
+                                mForwarding.attemptFailed(this, "stream_ends_inside_event", false);
+                            } else {
+                                mServer.succeeded();
+                                mForwarding.streamed(this);
+                            }
+                        });
     }
 
     private void finishWhole(HttpResponse head) {
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -25,13 +25,14 @@
     /** Servers that may refuse the request, or the connection, before the caller is refused. */
     private static final int MAXIMUM_NOT_RUN = 3;
 
-    /** Other engines that are asked to take a run over; one refuses if it has no room. */
-    private static final int MAXIMUM_REFUSED_MOVES = 3;
+    /** A restarted member of control is connected and has sent its configuration by then. */
+    private static final long CONFIGURATION_MILLISECONDS = 1_000;
 
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerAnswer mCaller;
     private final RequestLog mLog;
+    private final RunContinuation mRun;
     private final Set<BackendServer> mTried = new HashSet<>();
     private Optional<AdmittedRequest> mAdmitted = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
@@ -40,27 +41,43 @@
     private int mSent;
     private int mNotRun;
     private boolean mMayHaveRun;
-    private Optional<RunMove> mMove = Optional.empty();
-    private int mRefusedMoves;
-    private Optional<Continuation> mContinuation = Optional.empty();
+    private boolean mDecided;
     private boolean mDone;
 
-    /**
-     * A run that was stopped and goes on.
-     *
-     * @param runSource what the request says of the run's memory
-     * @param stoppedAt the engine that stopped it and keeps its memory for a while
-     */
-    private record Continuation(String runSource, BackendServer stoppedAt) {}
-
     Forwarding(Gateway gateway, CallerRequest request, CallerAnswer caller) {
         mGateway = gateway;
         mRequest = request;
         mCaller = caller;
         mLog = new RequestLog(gateway, request);
+        mRun = new RunContinuation(this, gateway, mLog);
     }
 
+    /**
+     * Decides at once if a configuration is known. After a start it comes within a second: callers
+     * that wait for it are served, and those that were refused would return to the same moment.
+     */
     void start() {
+        if (mGateway.table().isEmpty() && !mGateway.isDraining()) {
+            mLog.event("waits_for_configuration", "longest_ms", CONFIGURATION_MILLISECONDS);
+            mGateway.onceServing(this::decide);
+            mTimer =
+                    Optional.of(
+                            mGateway.loop()
+                                    .schedule(
+                                            this::decide,
+                                            CONFIGURATION_MILLISECONDS,
+                                            TimeUnit.MILLISECONDS));
+        } else {
+            decide();
+        }
+    }
+
+    private void decide() {
+        if (mDecided || mDone) {
+            return;
+        }
+        mDecided = true;
+        mTimer.ifPresent(timer -> timer.cancel(false));
         switch (Admission.of(mGateway.table(), mRequest)) {
             case Admission.Refused refused -> refuse(refused.status(), refused.reason());
             case Admission.Admitted admitted -> admit(admitted);
@@ -116,7 +133,7 @@
             giveUp("no_server");
             return;
         }
-        mContinuation = Optional.empty();
+        mRun.startsAnew();
         mSent++;
         admitted()
                 .prompt()
@@ -124,7 +141,8 @@
         sendTo(place.get());
     }
 
-    private void sendTo(Placement.Place place) {
+    /** Sends the request, or what continues it, to one server. */
+    void sendTo(Placement.Place place) {
         BackendServer server = place.server();
         mTried.add(server);
         Optional<Prompt> prompt = admitted().prompt();
@@ -133,11 +151,7 @@
         mAttempt = Optional.of(attempt);
         mLog.placed(place, mSent, prompt);
         attempt.send(
-                admitted()
-                        .copyFor(
-                                place,
-                                mStream.flatMap(StreamRelay::lastEvent),
-                                mContinuation.map(Continuation::runSource)),
+                admitted().copyFor(place, mStream.flatMap(StreamRelay::lastEvent), mRun.source()),
                 mRequest.identifier(),
                 isRepeatable());
         armSilence(attempt);
@@ -176,6 +190,20 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the run of a stream, which may go on at another engine. */
+    RunContinuation run() {
+        return mRun;
+    }
+
+    CallerRequest request() {
+        return mRequest;
+    }
+
+    /** Returns the servers that are not asked again. */
+    Set<BackendServer> tried() {
+        return mTried;
+    }
+
     boolean isCurrent(Attempt attempt) {
         return !mDone && mAttempt.filter(present -> present == attempt).isPresent();
     }
@@ -192,8 +220,8 @@
     void unsent(Attempt attempt, String reason) {
         mLog.server("not_sent", attempt.server(), "reason", reason);
         endAttempt(attempt);
-        if (mContinuation.isPresent()) {
-            goOnWhereItStopped(attempt, reason);
+        if (mRun.goesOn()) {
+            mRun.refused(attempt, reason);
             return;
         }
         mNotRun++;
@@ -208,9 +236,9 @@
     /** The server said that it did not run the request. */
     void notRun(Attempt attempt, int status) {
         endAttempt(attempt);
-        if (mContinuation.isPresent()) {
+        if (mRun.goesOn()) {
             mLog.server("not_run", attempt.server(), "status", status);
-            goOnWhereItStopped(attempt, "refused_by_server");
+            mRun.refused(attempt, "refused_by_server");
             return;
         }
         mNotRun++;
@@ -233,87 +261,6 @@
         server.learnedWeights(prompt.model(), named);
     }
 
-    /** The engine will serve nobody soon: the run goes on elsewhere, if an engine has room. */
-    void move(Attempt attempt) {
-        boolean cameBack =
-                mContinuation.filter(one -> one.stoppedAt() == attempt.server()).isPresent();
-        if (!admitted().isForEngine()
-                || mMove.isPresent()
-                || mRefusedMoves == MAXIMUM_REFUSED_MOVES
-                || cameBack) {
-            return;
-        }
-        boolean isMovable = admitted().isMovable();
-        Optional<Placement.Place> refuge =
-                isMovable
-                        ? mGateway.promptPlacement()
-                                .refuge(admitted().task(mTried), attempt.server())
-                        : Optional.empty();
-        if (refuge.isEmpty()) {
-            mRefusedMoves = MAXIMUM_REFUSED_MOVES;
-            mLog.server("run_stays", attempt.server(), "movable", isMovable);
-            return;
-        }
-        RunMove move = new RunMove(this, mGateway, attempt, refuge.get().server());
-        mMove = Optional.of(move);
-        move.start(mRequest.identifier());
-    }
-
-    /** The run stopped: it goes on from its memory, without being read again. */
-    void moved(Attempt attempt, BackendServer target, RunMoves.StoppedRun stopped) {
-        BackendServer from = attempt.server();
-        mRefusedMoves = 0;
-        mMove = Optional.empty();
-        attempt.cancel();
-        endAttempt(attempt);
-        mLog.server("run_moved", from, "to", stopped.isCopied() ? target.name() : "");
-        mGateway.metrics().counted("runs_moved");
-        mContinuation =
-                Optional.of(new Continuation(from.address() + "/" + stopped.handle(), from));
-        sendTo(place(stopped.isCopied() ? target : from));
-    }
-
-    /** The run was not stopped: its stream goes on, or has ended by itself. */
-    void notMoved(
-            Attempt attempt, BackendServer target, String reason, Optional<Runnable> streamEnd) {
-        mMove = Optional.empty();
-        mRefusedMoves++;
-        mTried.add(target);
-        target.refused(mGateway.now());
-        mLog.server("run_not_moved", attempt.server(), "reason", target.name() + " " + reason);
-        mGateway.metrics().counted("runs_not_moved");
-        streamEnd.ifPresent(Runnable::run);
-    }
-
-    /** A stream ended or broke off; what that means may depend on a move that was asked for. */
-    void streamEnded(Runnable meaning) {
-        mMove.ifPresentOrElse(move -> move.streamEnded(meaning), meaning);
-    }
-
-    /** Where a copy cannot be used the engine that stopped the run may go on with it, once. */
-    private void goOnWhereItStopped(Attempt attempt, String reason) {
-        BackendServer stoppedAt = mContinuation.get().stoppedAt();
-        if (attempt.server() != stoppedAt) {
-            sendTo(place(stoppedAt));
-        } else if (route().isIdempotent()) {
-            mContinuation = Optional.empty();
-            repeatOrGiveUp(reason);
-        } else {
-            giveUp(reason);
-        }
-    }
-
-    private Placement.Place place(BackendServer server) {
-        String model = admitted().prompt().get().model();
-        return new Placement.Place(
-                server,
-                Optional.empty(),
-                Optional.empty(),
-                admitted().task(mTried).salt(server),
-                server.weights(model),
-                0);
-    }
-
     /** The attempt may have run and has no whole answer. */
     void attemptFailed(Attempt attempt, String reason, boolean cancels) {
         endAttempt(attempt);
@@ -374,7 +321,7 @@
                 && mGateway.allowance(admitted().serviceName()).take(mGateway.entries());
     }
 
-    private void repeatOrGiveUp(String reason) {
+    void repeatOrGiveUp(String reason) {
         if (mayRepeat()) {
             mGateway.metrics().counted("repeats");
             attempt();
@@ -386,7 +333,7 @@
     /**
      * Ends the request without an answer of a backend server, and says truthfully what is known.
      */
-    private void giveUp(String reason) {
+    void giveUp(String reason) {
         boolean isBegun = mStream.filter(StreamRelay::isBegun).isPresent();
         if (isBegun) {
             logDone(0, "", reason);
@@ -432,9 +379,8 @@
         mCaller.whole(status, headers, Unpooled.EMPTY_BUFFER);
     }
 
-    private void endAttempt(Attempt attempt) {
-        mMove.ifPresent(RunMove::cancel);
-        mMove = Optional.empty();
+    void endAttempt(Attempt attempt) {
+        mRun.cancelMove();
         attempt.end();
         mAttempt = Optional.empty();
     }
@@ -448,12 +394,11 @@
                     attempt.end();
                 });
         mAttempt = Optional.empty();
-        mMove.ifPresent(RunMove::cancel);
-        mMove = Optional.empty();
+        mRun.cancelMove();
         mRequest.body().release();
     }
 
-    private AdmittedRequest admitted() {
+    AdmittedRequest admitted() {
         return mAdmitted.get();
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -3,8 +3,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.time.Clock;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -33,6 +35,7 @@
     private final GatewayMetrics mMetrics;
     private final Map<String, RetryAllowance> mAllowances = new HashMap<>();
     private final Set<CallerHandler> mCallers = new LinkedHashSet<>();
+    private final List<Runnable> mOnceServing = new ArrayList<>();
     private Optional<RouteTable> mTable = Optional.empty();
     private final NamedWeights mWeights = new NamedWeights();
     private int mEntries = 1;
@@ -72,6 +75,8 @@
             if (mTable.isEmpty() || mTable.get().version() < version) {
                 mTable = state.routing().map(RouteTable::of);
                 mServing = true;
+                mOnceServing.forEach(mLoop::execute);
+                mOnceServing.clear();
             }
         }
         mWeights.update(state.weights(), now());
@@ -86,6 +91,11 @@
         mOffers.keep(mDirectory.agents(now()));
     }
 
+    /** Runs a task once the first configuration is in force. */
+    void onceServing(Runnable task) {
+        mOnceServing.add(task);
+    }
+
     /** Returns whether requests can be served: a configuration is known. */
     boolean isServing() {
         return mServing;
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
@@ -28,7 +28,7 @@
     /** The answer and the last bytes of the stream travel on two connections. */
     private static final long CLOSE_MILLISECONDS = 60;
 
-    private final Forwarding mForwarding;
+    private final RunContinuation mRun;
     private final Gateway mGateway;
     private final Attempt mAttempt;
     private final BackendServer mTarget;
@@ -39,8 +39,8 @@
     private int mStatus;
     private boolean mDone;
 
-    RunMove(Forwarding forwarding, Gateway gateway, Attempt attempt, BackendServer target) {
-        mForwarding = forwarding;
+    RunMove(RunContinuation run, Gateway gateway, Attempt attempt, BackendServer target) {
+        mRun = run;
         mGateway = gateway;
         mAttempt = attempt;
         mTarget = target;
@@ -131,14 +131,14 @@
     private void goOn(RunMoves.StoppedRun stopped) {
         if (!mDone) {
             cancel();
-            mForwarding.moved(mAttempt, mTarget, stopped);
+            mRun.moved(mAttempt, mTarget, stopped);
         }
     }
 
     private void fail(String reason) {
         if (!mDone) {
             cancel();
-            mForwarding.notMoved(mAttempt, mTarget, reason, mStreamEnd);
+            mRun.notMoved(mAttempt, mTarget, reason, mStreamEnd);
         }
     }
 }
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -109,6 +109,16 @@
         assertThat(call("GET", "/p/", "", "")).startsWith("HTTP/1.1 503");
     }
 
+    @Test
+    void servesWhatCameShortlyBeforeTheFirstConfiguration() throws IOException {
+        try (Socket caller = connect()) {
+            write(caller, request("GET", "/p/", "", ""));
+            serve(Repetition.IDEMPOTENT, whole(200, SIGNED, "served"));
+
+            assertThat(read(caller)).endsWith("served");
+        }
+    }
+
     /** The ways in which an answer may fail to be one. */
     enum Fault {
         CLOSED,
