--- a/base/src/main/java/org/ibisstand/base/LogLine.java
+++ b/base/src/main/java/org/ibisstand/base/LogLine.java
@@ -118,8 +118,7 @@
     }
 
     private static String quoted(String value) {
-        boolean plain = !value.isEmpty() && value.chars().allMatch(LogLine::isPlain);
-        if (plain) {
+        if (isPlain(value)) {
             return value;
         }
         StringBuilder text = new StringBuilder("\"");
@@ -133,6 +132,15 @@
         return text.append('"').toString();
     }
 
+    private static boolean isPlain(String value) {
+        for (int index = 0; index < value.length(); index++) {
+            if (!isPlain(value.charAt(index))) {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
+
     private static boolean isPlain(int character) {
         return character > ' ' && character != '"' && character != '=' && character != 0x7F;
     }
