--- a/command/src/main/java/org/ibisstand/command/RequestStory.java
+++ b/command/src/main/java/org/ibisstand/command/RequestStory.java
@@ -108,6 +108,23 @@
                     server + " refused with " + line.get("status") + " and did not run it";
             case "attempt_failed" -> server + " may have run it and failed: " + line.get("reason");
             case "failure_repeated" -> server + " answered " + line.get("status") + "; tried again";
+            case "waits_for_configuration" ->
+                    "no configuration was known yet; waited up to "
+                            + line.get("longest_ms")
+                            + " ms";
+            case "run_moved" ->
+                    server
+                            + " stopped the run, which goes on at "
+                            + (line.getOrDefault("to", NOTHING).isEmpty()
+                                    ? "the same engine"
+                                    : line.get("to"));
+            case "run_not_moved" ->
+                    "the run stayed at "
+                            + server
+                            + ", as a move was refused: "
+                            + line.get("reason");
+            case "run_stays" ->
+                    "the run stayed at " + server + ": no other engine has its weights and room";
             case "caller_left" -> "the caller left after " + line.get("after_ms") + " ms";
             case "request_done" ->
                     "ended with status "
--- a/command/src/test/java/org/ibisstand/command/RequestStoryTest.java
+++ b/command/src/test/java/org/ibisstand/command/RequestStoryTest.java
@@ -41,6 +41,23 @@
         assertThat(story.sentences().getLast()).isEqualTo("conclusion: " + expected);
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "event=run_moved server=s to=t | s stopped the run, which goes on at t",
+                "event=run_moved server=s to= | stopped the run, which goes on at the same",
+                "event=run_not_moved server=s reason=full | a move was refused: full",
+                "event=run_stays server=s | no other engine has its weights and room",
+                "event=waits_for_configuration longest_ms=1000 | waited up to 1000 ms"
+            })
+    void tellsWhereARunWentOn(String line, String expected) {
+        RequestStory story =
+                RequestStory.of("r1", List.of("time=10:00:00.150 request=r1 process=g " + line));
+
+        assertThat(story.sentences().getFirst()).contains(expected);
+    }
+
     @Test
     void saysThatTheEndIsMissing() {
         RequestStory story = RequestStory.of("r1", List.of(PLACED));
--- a/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
+++ b/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
@@ -15,29 +15,17 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.command.Main;
 import org.ibisstand.control.ControlDaemon;
 import org.ibisstand.control.ReplicatedLog;
-import org.ibisstand.gateway.ForwardingHeaders;
 import org.ibisstand.gateway.GatewayDaemon;
-import org.ibisstand.gateway.GatewaySettings;
-import org.ibisstand.settings.Address;
-import org.ibisstand.settings.Administration;
-import org.ibisstand.settings.ControlSettings;
-import org.ibisstand.settings.Route;
 import org.ibisstand.settings.Route.Repetition;
-import org.ibisstand.settings.Route.WeightedService;
-import org.ibisstand.settings.RoutedService;
 import org.ibisstand.settings.RoutingConfiguration;
-import org.ibisstand.settings.RoutingConfiguration.CallerLimits;
 import org.ibisstand.settings.RoutingConfigurationReader;
-import org.ibisstand.settings.WireListen;
-import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -51,7 +39,6 @@
 @Timeout(60)
 class ExplainTest {
     private static final String HOST = "127.0.0.1";
-    private static final String NOT_RUN = "x-not-executed";
     private static final int PATIENCE_MILLISECONDS = 20_000;
 
     private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
@@ -62,6 +49,7 @@
     private ServerSocket mBackend;
     private ControlDaemon mControl;
     private GatewayDaemon mGateway;
+    private ScheduledExecutorService mAnnouncements;
 
     @BeforeEach
     void start() throws IOException {
@@ -71,20 +59,11 @@
         mBackend = new ServerSocket(0, 50, InetAddress.getByName(HOST));
         int wirePort = FreePorts.next();
         mControl =
-                ControlDaemon.start(
-                        controlSettings(wirePort, FreePorts.next()), ReplicatedLog::open);
+                ControlDaemon.start(GatewaySamples.control(mFolder, wirePort), ReplicatedLog::open);
         mGateway =
                 GatewayDaemon.start(
-                        new GatewaySettings(
-                                "gateway",
-                                "zone",
-                                new Address(HOST, 0),
-                                List.of(HOST + ":" + wirePort),
-                                1,
-                                100,
-                                10_000,
-                                2_000),
-                        names(),
+                        GatewaySamples.gateway(wirePort),
+                        GatewaySamples.NAMES,
                         headers -> Optional.empty(),
                         new NoRunMoves(),
                         MonotonicClock.start(),
@@ -93,6 +72,7 @@
 
     @AfterEach
     void stop() throws IOException {
+        mAnnouncements.shutdownNow();
         mGateway.close();
         mControl.close();
         mBackend.close();
@@ -104,7 +84,8 @@
     void aRefusalNamesTheServerThatDidNotRunIt() throws IOException {
         serve(
                 Repetition.ONCE,
-                "HTTP/1.1 503 X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n".formatted(NOT_RUN));
+                "HTTP/1.1 503 X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n"
+                        .formatted(GatewaySamples.NOT_RUN));
 
         assertThat(call("refused-1")).startsWith("HTTP/1.1 503");
 
@@ -141,7 +122,7 @@
     /** Puts the configuration, announces the server, and waits until the gateway serves. */
     private void serve(Repetition repetition, String answer) throws IOException {
         CompletableFuture.runAsync(() -> answerAll(answer), command -> new Thread(command).start());
-        RoutingConfiguration configuration = configuration(repetition);
+        RoutingConfiguration configuration = GatewaySamples.configuration(repetition);
         byte[] json = RoutingConfigurationReader.create().write(configuration);
         boolean isPut = false;
         while (!isPut) {
@@ -151,17 +132,7 @@
                             .handle((version, failure) -> failure == null)
                             .join();
         }
-        mControl.fleet()
-                .heard(
-                        ServerRecord.newBuilder()
-                                .setServer("server-1")
-                                .setService("service")
-                                .setAddress(HOST + ":" + mBackend.getLocalPort())
-                                .setBornMilliseconds(1)
-                                .setSequence(1)
-                                .setSlots(4)
-                                .build())
-                .join();
+        mAnnouncements = GatewaySamples.announce(mControl, mBackend.getLocalPort());
         int probe = 0;
         while (explain("probe-" + probe).contains("no_server") || !mGateway.isReady()) {
             probe++;
@@ -215,62 +186,4 @@
                 .run("explain", identifier, file.toString());
         return story.toString(StandardCharsets.UTF_8);
     }
-
-    private ControlSettings controlSettings(int wirePort, int administrationPort) {
-        return new ControlSettings(
-                "member-1",
-                "zone",
-                new WireListen(HOST, wirePort, Optional.empty()),
-                new Administration(HOST, administrationPort, "0".repeat(64)),
-                mFolder.resolve("data").toString(),
-                List.of(new ControlSettings.Member("member-1", new Address(HOST, wirePort))),
-                false,
-                new ControlSettings.Limits(1_000, 1 << 20, 1, 2),
-                new ControlSettings.Timing(600, 100, 3_600_000, 30_000, 1_000));
-    }
-
-    private static RoutingConfiguration configuration(Repetition repetition) {
-        Route route =
-                new Route(
-                        "route",
-                        "h.example",
-                        "/p/",
-                        repetition,
-                        5_000,
-                        500,
-                        0,
-                        List.of(new WeightedService("service", 1)),
-                        1,
-                        true,
-                        false,
-                        400);
-        return new RoutingConfiguration(
-                1,
-                List.of(route),
-                List.of(
-                        new RoutedService(
-                                "service", "/health", 100, Optional.empty(), Optional.empty())),
-                new CallerLimits(16384, 100_000, 3000, 15000),
-                Optional.empty());
-    }
-
-    private static ForwardingHeaders names() {
-        return new ForwardingHeaders(
-                "x-request",
-                "x-deadline",
-                "x-team",
-                "x-expected-server",
-                "x-expected-weights",
-                "x-salt",
-                "x-source",
-                "x-target",
-                "x-urgency",
-                NOT_RUN,
-                "x-signature",
-                "x-load",
-                "x-weights",
-                "last-event-id",
-                "x-run-source",
-                Set.of());
-    }
 }
