Let the last engine of a round wait for its runs only while others have room

Ruled out: moved runs themselves (the engines that could hand theirs over loaded with 0 running). Change: the longer wait holds only while the engines with newer weights hold less than half of their memory in runs.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -40,8 +40,9 @@
     private static final Duration RUNNING_TIME = Duration.ofMillis(700);
 
     /**
-     * The same where no other engine can take the runs over and newer weights serve elsewhere: half
-     * of the longest answers of the platforms' sheets, as most have begun long before.
+     * The same where no other engine can take the runs over, and those with newer weights have room
+     * to spare: half of the longest answers of the platforms' sheets, as most began long before. At
+     * a crest an engine that waits is missed more than the runs that it would save.
      */
     private static final Duration LAST_RUNNING_TIME = Duration.ofMillis(2_000);
 
@@ -189,7 +190,7 @@
         return (isEmpty && since.compareTo(NOTICE_TIME) >= 0) || since.compareTo(longest) >= 0;
     }
 
-    /** Returns whether others have newer weights and no other could go on with the runs. */
+    /** Returns whether others serve newer weights with ease and none could go on with the runs. */
     private boolean isLast(String model, EngineStatus status) {
         long loaded = status.weights().get(model);
         List<ServerRecord> steady =
@@ -197,7 +198,15 @@
                         .filter(one -> !one.getAddress().equals(mAddress) && !isLoading(one))
                         .toList();
         return steady.stream().noneMatch(one -> versionOf(one, model) == loaded)
-                && steady.stream().anyMatch(one -> versionOf(one, model) > loaded);
+                && steady.stream().anyMatch(one -> versionOf(one, model) > loaded)
+                && steady.stream().allMatch(this::hasRoom);
+    }
+
+    /** Returns whether less than half of an engine's memory is held by its runs. */
+    private boolean hasRoom(ServerRecord engine) {
+        EngineNotice notice =
+                mOthers.getOrDefault(engine.getAddress(), EngineNotice.getDefaultInstance());
+        return notice.getUsedTokens() * 2 <= notice.getCapacityTokens();
     }
 
     /** Returns the engines of the service; empty while this one is not listed. */
--- a/agent/src/test/java/org/ibisstand/agent/WeightsKeeperTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/WeightsKeeperTest.java
@@ -12,6 +12,7 @@
 import org.ibisstand.base.ManualClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.wire.message.EngineNotice;
+import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -57,8 +58,9 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"2, 2000", "1, 700"})
-    void waitsLongerWhereNoOtherEngineCanTakeTheRunsOver(long othersVersion, long waits) {
+    @CsvSource({"2, 400, 2000", "2, 600, 700", "1, 400, 700"})
+    void waitsLongerWhereNoOtherEngineCanTakeTheRunsOverAndOthersHaveRoom(
+            long othersVersion, long othersTokens, long waits) {
         mOffice.mRunning = 3;
         mKeeper.update(
                 new FleetState(
@@ -68,6 +70,14 @@
                                 record("self", ADDRESS, 1),
                                 record("other", "10.0.0.2:1", othersVersion)),
                         1));
+        mKeeper.noticed(
+                EngineNotices.newBuilder()
+                        .addEngines(
+                                EngineNotice.newBuilder()
+                                        .setAddress("10.0.0.2:1")
+                                        .setUsedTokens(othersTokens)
+                                        .setCapacityTokens(1_000))
+                        .build());
         ticks(Duration.ofMillis(waits));
         assertThat(mOffice.mOrders).isEmpty();
 
