End a begun stream visibly when its server answers something else

Cause, found by reading: a server that is asked to go on with a stream may answer 404, 500 or 504 in its place. The gateway wrote that as a second head, which the encoder refused; a caller that keeps its connection open then waited in vain until it gave up. Ruled out: passing the failure on in any form, as the head of the answer is long with the caller. Change: such an answer is a failed attempt: the stream goes on at another server if it may, and else its connection is closed.

--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -290,8 +290,13 @@
         return true;
     }
 
-    /** A whole answer that is passed on unchanged. */
+    /** A whole answer is passed on unchanged, but for one in place of the rest of a stream. */
     void answered(Attempt attempt, HttpResponse head, ByteBuf body) {
+        if (mStream.filter(StreamRelay::isBegun).isPresent()) {
+            body.release();
+            attemptFailed(attempt, "status " + head.status().code() + " inside a stream", false);
+            return;
+        }
         endAttempt(attempt);
         HttpHeaders headers = HeaderCopy.of(head.headers(), Set.of());
         logDone(head.status().code(), attempt.server().name(), "answered");
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -216,6 +216,31 @@
         assertThat(answer).endsWith("0\r\n\r\n");
     }
 
+    /** Whole answers that a server may give in place of the rest of a stream. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 404, 500, 504})
+    void aWholeAnswerNeverFollowsABegunStream(int status) throws IOException {
+        ScriptedServer.Script script =
+                (request, identifier, connection) -> {
+                    if (ScriptedServer.header(request, "last-event-id").isEmpty()) {
+                        write(connection, streamHead(identifier) + chunk("id: 1\ndata: a\n\n"));
+                        connection.close();
+                    } else {
+                        String signed = status == 200 ? "" : SIGNED;
+                        whole(status, signed, "other").answer(request, identifier, connection);
+                    }
+                };
+        serve(Repetition.RESUMABLE_STREAM, script, script);
+
+        String keptOpen = request("POST", "/p/", "", "sent").replace("Connection: close\r\n", "");
+        String answer = exchange(keptOpen);
+
+        assertThat(answer).contains("data: a");
+        assertThat(answer).doesNotContain("other");
+        assertThat(answer.lastIndexOf("HTTP/1.1")).isEqualTo(0);
+        assertThat(answer).doesNotContain("0\r\n\r\n");
+    }
+
     @Test
     void aStreamThatCannotGoOnIsSeenToBeIncomplete() throws IOException {
         serve(
