--- a/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
+++ b/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
@@ -5,7 +5,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
 import java.io.Reader;
 import java.net.InetAddress;
@@ -144,7 +143,7 @@
         try {
             while (true) {
                 try (Socket connection = mBackend.accept()) {
-                    read(connection.getInputStream());
+                    GatewaySamples.head(connection.getInputStream());
                     connection.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
                     connection.getOutputStream().flush();
                 }
@@ -156,15 +155,6 @@
         }
     }
 
-    private static void read(InputStream input) throws IOException {
-        StringBuilder head = new StringBuilder();
-        int next = input.read();
-        while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) next);
-            next = head.indexOf("\r\n\r\n") < 0 ? input.read() : next;
-        }
-    }
-
     private String call(String identifier) throws IOException {
         try (Socket caller = new Socket(HOST, mGateway.port())) {
             caller.setSoTimeout(PATIENCE_MILLISECONDS);
--- a/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
+++ b/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
@@ -1,5 +1,7 @@
 package org.ibisstand.faults;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -120,4 +122,17 @@
                 new CallerLimits(16384, 100_000, 3000, 15000),
                 Optional.empty());
     }
+
+    /** Returns a head with its blank line, or nothing at the end of the connection. */
+    static String head(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            if (next < 0) {
+                return "";
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
 }
--- a/faults/src/test/java/org/ibisstand/faults/LoggingShareMeasurement.java
+++ b/faults/src/test/java/org/ibisstand/faults/LoggingShareMeasurement.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.FileOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -166,7 +165,7 @@
                         "GET /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r%d-%d\r\n\r\n"
                                 .formatted(caller, call);
                 socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
-                String head = head(socket.getInputStream());
+                String head = GatewaySamples.head(socket.getInputStream());
                 if (!head.startsWith("HTTP/1.1 200")) {
                     throw new IllegalStateException("answered " + head);
                 }
@@ -191,7 +190,7 @@
     private static void answerAll(Socket connection) {
         try (connection) {
             OutputStream output = connection.getOutputStream();
-            String head = head(connection.getInputStream());
+            String head = GatewaySamples.head(connection.getInputStream());
             while (!head.isEmpty()) {
                 int from = head.indexOf("x-request: ") + "x-request: ".length();
                 String identifier = head.substring(from, head.indexOf('\r', from));
@@ -200,7 +199,7 @@
                                         + identifier
                                         + "\r\nx-signature: s\r\nContent-Length: 2\r\n\r\nok")
                                 .getBytes(StandardCharsets.UTF_8));
-                head = head(connection.getInputStream());
+                head = GatewaySamples.head(connection.getInputStream());
             }
         } catch (SocketException e) {
             System.err.println("a connection ended: " + e.getMessage());
@@ -208,17 +207,4 @@
             throw new IllegalStateException(e);
         }
     }
-
-    /** Returns a head with its blank line, or nothing at the end of the connection. */
-    private static String head(InputStream input) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = input.read();
-            if (next < 0) {
-                return "";
-            }
-            head.append((char) next);
-        }
-        return head.toString();
-    }
 }
