Log the weights of placed and moved runs and what is believed of engines

The log could not tell the hypotheses of the incident apart: a placed line had the salt alone, a moved run no weights at all, and nothing said when a gateway began to believe other weights of an engine, or when an engine really had them.

placed now says the weights that the request names, the store it saves to and the memory it goes on from; run_moved says the weights that the memory was made under and those believed of both engines; engine_weights is written when a belief changes and by what; weights_loaded is what the agent sees at its engine. EventSplitter notes an event that tells of other weights, so that a run that went on under newer ones shows.

No decision changes.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsKeeper.java
@@ -157,6 +157,7 @@
         } else if (due.isEmpty() && !status.loading()) {
             mPreparedAt = Optional.empty();
         }
+        logLoaded(status);
         mStatus = Optional.of(status);
         boolean isSteady = mPreparedAt.isEmpty() && !status.loading();
         mNextStatus = isSteady ? mClock.instant().plus(statusPause()) : Instant.MIN;
@@ -166,6 +167,22 @@
         }
     }
 
+    private void logLoaded(EngineStatus status) {
+        Map<String, Long> before = mStatus.map(EngineStatus::weights).orElse(Map.of());
+        status.weights()
+                .forEach(
+                        (model, version) -> {
+                            if (!version.equals(before.get(model))) {
+                                LogLine.info("weights_loaded")
+                                        .with("model", model)
+                                        .with("version", version)
+                                        .with("running", status.running())
+                                        .with("waiting", status.waiting())
+                                        .write();
+                            }
+                        });
+    }
+
     /** What is told less often need not be asked more often; a small fleet asks at every tick. */
     private Duration statusPause() {
         Duration pause = NoticePace.pause(mServers.size());
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -18,8 +18,9 @@
 
     private final Forwarding mForwarding;
     private final Gateway mGateway;
+    private final Placement.Place mPlace;
     private final BackendServer mServer;
-    private final int mTokens;
+    private final Optional<Prompt> mPrompt;
     private Optional<BackendExchanges.Exchange> mExchange = Optional.empty();
     private Optional<HttpResponse> mHead = Optional.empty();
     private Optional<StreamRelay> mRelay = Optional.empty();
@@ -27,15 +28,20 @@
     private boolean mStarted;
     private boolean mEnded;
 
-    Attempt(Forwarding forwarding, Gateway gateway, BackendServer server, int tokens) {
+    Attempt(
+            Forwarding forwarding,
+            Gateway gateway,
+            Placement.Place place,
+            Optional<Prompt> prompt) {
         mForwarding = forwarding;
         mGateway = gateway;
-        mServer = server;
-        mTokens = tokens;
+        mPlace = place;
+        mServer = place.server();
+        mPrompt = prompt;
     }
 
     void send(FullHttpRequest request, String identifier, boolean isRepeatable) {
-        mServer.sent(this, mTokens, mGateway.now());
+        mServer.sent(this, tokens(), mGateway.now());
         long longestIdle = isRepeatable ? Long.MAX_VALUE : LONGEST_IDLE_MILLISECONDS;
         mExchange =
                 Optional.of(
@@ -46,6 +52,21 @@
         return mServer;
     }
 
+    /** Returns the weights that the request was meant for; zero if these were not known. */
+    long weights() {
+        return mPlace.weights();
+    }
+
+    /** Returns the model that the request asks for; empty if it carries no prompt. */
+    Optional<String> model() {
+        return mPrompt.map(Prompt::model);
+    }
+
+    /** Returns the weights that the engine changed to while it made the stream. */
+    Optional<String> changedWeights() {
+        return mRelay.flatMap(StreamRelay::changedWeights);
+    }
+
     boolean isSent() {
         return mExchange.filter(BackendExchanges.Exchange::isSent).isPresent();
     }
@@ -186,10 +207,14 @@
         return mHead.get().headers().contains(mGateway.names().signature());
     }
 
+    private int tokens() {
+        return mPrompt.map(Prompt::promptTokens).orElse(0);
+    }
+
     private void start() {
         if (!mStarted) {
             mStarted = true;
-            mServer.started(mTokens);
+            mServer.started(tokens());
         }
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
@@ -72,7 +74,9 @@
     }
 
     void renew(ServerRecord record, long now) {
+        Map<String, Long> known = weightsOf(record.getWeightsMap().keySet());
         mRecord = record;
+        logChanges(known, "record");
         if (record.getState() == ServerRecord.State.READY) {
             mLeavingSince = Long.MAX_VALUE;
         } else {
@@ -133,7 +137,9 @@
 
     /** Takes what the agent beside the engine says of it. */
     void noticed(EngineNotice notice, long now) {
+        Map<String, Long> known = weightsOf(notice.getWeightsMap().keySet());
         mNotice = Optional.of(notice);
+        logChanges(known, "notice");
         mNoticeAt = now;
     }
 
@@ -163,7 +169,29 @@
 
     /** Notes that an answer, or a refusal, told of weights that no record tells of yet. */
     void learnedWeights(String model, long version) {
+        Map<String, Long> known = weightsOf(Set.of(model));
         mLearnedWeights.merge(model, version, Math::max);
+        logChanges(known, "answer");
+    }
+
+    private Map<String, Long> weightsOf(Set<String> models) {
+        return models.stream().collect(Collectors.toMap(model -> model, this::weights));
+    }
+
+    private void logChanges(Map<String, Long> known, String source) {
+        known.forEach(
+                (model, before) -> {
+                    long now = weights(model);
+                    if (now != before) {
+                        LogLine.info("engine_weights")
+                                .with("server", name())
+                                .with("model", model)
+                                .with("before", before)
+                                .with("version", now)
+                                .with("source", source)
+                                .write();
+                    }
+                });
     }
 
     /** Returns the newest version of a model's weights that the server is known to have. */
--- a/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -13,11 +14,25 @@
     private static final String IDENTIFIER_FIELD = "id:";
 
     private final int mMaximumEventBytes;
+    private final String mWeightsField;
     private ByteBuf mPartial = Unpooled.EMPTY_BUFFER;
     private Optional<String> mLastIdentifier = Optional.empty();
+    private Optional<String> mLastWeights = Optional.empty();
 
-    EventSplitter(int maximumEventBytes) {
+    /**
+     * Creates a splitter.
+     *
+     * @param maximumEventBytes an unfinished event that is longer is overlong
+     * @param weightsField the name of the line in an event that tells of other weights
+     */
+    EventSplitter(int maximumEventBytes, String weightsField) {
         mMaximumEventBytes = maximumEventBytes;
+        mWeightsField = weightsField.toLowerCase(Locale.ROOT) + ':';
+    }
+
+    /** Returns the weights that the last event with such a line told of. */
+    Optional<String> lastWeights() {
+        return mLastWeights;
     }
 
     /** Returns the identifier of the last whole event. */
@@ -40,7 +55,7 @@
             mPartial = joined;
             return Unpooled.EMPTY_BUFFER;
         }
-        noteIdentifier(joined, end);
+        noteFields(joined, end);
         mPartial = joined.copy(end, joined.readableBytes() - end);
         return joined.slice(0, end);
     }
@@ -76,14 +91,18 @@
                 || (before == '\r' && newline > 1 && bytes.getByte(newline - 2) == '\n');
     }
 
-    private void noteIdentifier(ByteBuf bytes, int end) {
+    private void noteFields(ByteBuf bytes, int end) {
         String text = bytes.toString(0, end, StandardCharsets.UTF_8);
-        int found = text.lastIndexOf("\n" + IDENTIFIER_FIELD);
-        int from = found >= 0 ? found + 1 : text.startsWith(IDENTIFIER_FIELD) ? 0 : -1;
-        if (from >= 0) {
-            int lineEnd = text.indexOf('\n', from);
-            mLastIdentifier =
-                    Optional.of(text.substring(from + IDENTIFIER_FIELD.length(), lineEnd).strip());
+        mLastIdentifier = lastValue(text, IDENTIFIER_FIELD).or(() -> mLastIdentifier);
+        mLastWeights = lastValue(text, mWeightsField).or(() -> mLastWeights);
+    }
+
+    private static Optional<String> lastValue(String text, String field) {
+        int found = text.lastIndexOf("\n" + field);
+        int from = found >= 0 ? found + 1 : text.startsWith(field) ? 0 : -1;
+        if (from < 0) {
+            return Optional.empty();
         }
+        return Optional.of(text.substring(from + field.length(), text.indexOf('\n', from)).strip());
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -143,13 +143,11 @@
 
     /** Sends the request, or what continues it, to one server. */
     void sendTo(Placement.Place place) {
-        BackendServer server = place.server();
-        mTried.add(server);
+        mTried.add(place.server());
         Optional<Prompt> prompt = admitted().prompt();
-        Attempt attempt =
-                new Attempt(this, mGateway, server, prompt.map(Prompt::promptTokens).orElse(0));
+        Attempt attempt = new Attempt(this, mGateway, place, prompt);
         mAttempt = Optional.of(attempt);
-        mLog.placed(place, mSent, prompt);
+        mLog.placed(place, mSent, prompt, mRun.source());
         attempt.send(
                 admitted().copyFor(place, mStream.flatMap(StreamRelay::lastEvent), mRun.source()),
                 mRequest.identifier(),
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
@@ -56,7 +56,11 @@
     }
 
     /** Notes where the request goes and what was known of the server. */
-    void placed(Placement.Place place, int attempt, Optional<Prompt> prompt) {
+    void placed(
+            Placement.Place place,
+            int attempt,
+            Optional<Prompt> prompt,
+            Optional<String> runSource) {
         BackendServer server = place.server();
         LogLine line =
                 line("placed")
@@ -65,9 +69,12 @@
                         .with("cost", Math.round(place.cost()))
                         .with("in_flight", server.inFlight());
         place.source().ifPresent(source -> line.with("fetch_from", source));
+        place.target().ifPresent(target -> line.with("save_to", target));
+        runSource.ifPresent(source -> line.with("run_from", source));
         prompt.ifPresent(
                 one ->
                         line.with("salt", place.salt())
+                                .with("weights", place.weights())
                                 .with("part", one.sharedKey())
                                 .with("shared_tokens", one.sharedTokens())
                                 .with("prompt_tokens", one.promptTokens()));
@@ -87,6 +94,22 @@
         line.write();
     }
 
+    /** Notes that a run stopped, and which weights its memory and both engines have. */
+    void moved(Attempt attempt, BackendServer target, boolean isCopied) {
+        LogLine line =
+                line("run_moved")
+                        .with("server", attempt.server().name())
+                        .with("to", isCopied ? target.name() : "")
+                        .with("made_under", attempt.weights());
+        attempt.changedWeights().ifPresent(version -> line.with("changed_to", version));
+        attempt.model()
+                .ifPresent(
+                        model ->
+                                line.with("weights_here", attempt.server().weights(model))
+                                        .with("weights_there", target.weights(model)));
+        line.with("after_ms", elapsedMilliseconds()).write();
+    }
+
     /** Notes the end of the request, and counts it. */
     void done(End end) {
         mGateway.metrics().answered(end.status(), elapsedMilliseconds());
--- a/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
@@ -87,7 +87,7 @@
         mMove = Optional.empty();
         attempt.cancel();
         mForwarding.endAttempt(attempt);
-        mLog.server("run_moved", from, "to", stopped.isCopied() ? target.name() : "");
+        mLog.moved(attempt, target, stopped.isCopied());
         mGateway.metrics().counted("runs_moved");
         mContinuation =
                 Optional.of(new Continuation(from.address() + "/" + stopped.handle(), from));
--- a/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
@@ -13,7 +13,7 @@
     private final CallerAnswer mCaller;
     private final CallerRequest mRequest;
     private final Gateway mGateway;
-    private final EventSplitter mSplitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
+    private final EventSplitter mSplitter;
     private Optional<HttpResponse> mHead = Optional.empty();
     private boolean mBegun;
 
@@ -21,6 +21,7 @@
         mCaller = caller;
         mRequest = request;
         mGateway = gateway;
+        mSplitter = new EventSplitter(MAXIMUM_EVENT_BYTES, gateway.names().weights());
     }
 
     /** Takes the head of the server that makes the stream from now on. */
@@ -41,6 +42,11 @@
         return mSplitter.lastIdentifier();
     }
 
+    /** Returns the weights that an event of the stream changed to, if one did. */
+    Optional<String> changedWeights() {
+        return mSplitter.lastWeights();
+    }
+
     /** Passes on all events that are whole; returns whether the stream may go on. */
     boolean data(ByteBuf data) {
         ByteBuf events = mSplitter.take(data);
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -23,7 +23,7 @@
         BackendServer server = mDirectory.ready(SERVICE, Set.of()).getFirst();
         int sent = 0;
         while (!mDirectory.ready(SERVICE, Set.of()).isEmpty()) {
-            server.sent(new Attempt(null, null, null, 0), 0, 0);
+            server.sent(Samples.attempt(server), 0, 0);
             sent++;
         }
         assertThat(sent).isEqualTo(10);
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
@@ -21,7 +21,7 @@
         assertThat(mServer.isPaused(49)).isTrue();
         assertThat(mServer.isPaused(51)).isFalse();
 
-        mServer.sent(attempt(), 0, 51);
+        mServer.sent(Samples.attempt(mServer), 0, 51);
 
         assertThat(mServer.isPaused(52)).isTrue();
     }
@@ -56,8 +56,4 @@
         assertThat(mServer.isPaused(100)).isTrue();
         assertThat(mServer.isPaused(10_000)).isFalse();
     }
-
-    private static Attempt attempt() {
-        return new Attempt(null, null, null, 0);
-    }
 }
--- a/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
@@ -12,7 +12,7 @@
 class EventSplitterTest {
     private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n";
 
-    private final EventSplitter mSplitter = new EventSplitter(100);
+    private final EventSplitter mSplitter = new EventSplitter(100, "X-Weights");
 
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 5, 7, 11, 100})
@@ -57,6 +57,17 @@
         assertThat(mSplitter.lastIdentifier()).hasValue("1");
     }
 
+    @Test
+    void noticesThatAnEventTellsOfOtherWeights() {
+        take("id: 1\ndata: a\n\n");
+        assertThat(mSplitter.lastWeights()).isEmpty();
+
+        take("x-weights: 4\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+
+        assertThat(mSplitter.lastWeights()).hasValue("4");
+        assertThat(mSplitter.lastIdentifier()).hasValue("3");
+    }
+
     private String take(String text) {
         ByteBuf events = mSplitter.take(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
         return events.toString(StandardCharsets.UTF_8);
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -60,6 +60,15 @@
 
     private Samples() {}
 
+    /** Returns an attempt of a request without a prompt, which is never sent. */
+    static Attempt attempt(BackendServer server) {
+        return new Attempt(
+                null,
+                null,
+                new Placement.Place(server, Optional.empty(), Optional.empty(), "", 0, 0),
+                Optional.empty());
+    }
+
     static RoutingConfiguration configuration(String... prefixes) {
         List<Route> routes = new ArrayList<>();
         for (String prefix : prefixes) {
