--- /dev/null
+++ b/gateway/src/test/java/org/ibisstand/gateway/PromptHeader.java
@@ -0,0 +1,30 @@
+package org.ibisstand.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** The parts of a prompt in one header, as identifiers with a common length. */
+final class PromptHeader {
+    static final String NAME = "x-prompt";
+
+    /** Enough that a shared part is worth fetching. */
+    private static final int PART_TOKENS = 600;
+
+    private static final int OUTPUT_TOKENS = 10;
+
+    private PromptHeader() {}
+
+    static Optional<Prompt> read(HttpHeaders headers) {
+        List<Prompt.Part> parts = parts(headers.get(NAME));
+        return Optional.of(
+                new Prompt(EngineScenario.MODEL, parts.size() * PART_TOKENS, OUTPUT_TOKENS, parts));
+    }
+
+    static List<Prompt.Part> parts(String text) {
+        return Arrays.stream(text.split(","))
+                .map(part -> new Prompt.Part(part, PART_TOKENS))
+                .toList();
+    }
+}
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -45,8 +45,11 @@
             new RunMoves() {
                 @Override
                 public FullHttpRequest stopAndCopy(String request, String target) {
-                    return new DefaultFullHttpRequest(
-                            HttpVersion.HTTP_1_1, HttpMethod.POST, "/move/" + target);
+                    FullHttpRequest call =
+                            new DefaultFullHttpRequest(
+                                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/move/" + target);
+                    call.headers().set(NAMES.request(), request);
+                    return call;
                 }
 
                 @Override
