Keep the weights of a run's memory with the run

Cause: what a run's memory was made under was looked up again whenever it was needed, from what the gateway believed of an engine at that moment. A continued request named the salt and weights that its new engine had when the copy was there, not those at the choice of that engine; and an engine was chosen if it had the same weights as the run's engine now, though the run may have begun under older ones.

Change: CacheScope, salt and weights, is taken once, when an engine is chosen, and stays with the run. A run is handed over only if its memory was made under that scope alone: its engine was seen with no other weights and no event told of others. The engine that goes on has to have exactly these, and the request names them, so that another refuses it.

--- a/gateway/src/main/java/org/ibisstand/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/AdmittedRequest.java
@@ -100,10 +100,9 @@
                         Math.max(1, leftMilliseconds()),
                         lastEvent,
                         runSource,
-                        place.salt(),
+                        place.scope(),
                         place.source(),
                         place.target(),
-                        place.weights(),
                         urgency()));
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -52,9 +52,9 @@
         return mServer;
     }
 
-    /** Returns the weights that the request was meant for; zero if these were not known. */
-    long weights() {
-        return mPlace.weights();
+    /** Returns the scope of the KV cache that the request was allowed to use. */
+    CacheScope scope() {
+        return mPlace.scope();
     }
 
     /** Returns the model that the request asks for; empty if it carries no prompt. */
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -194,8 +194,13 @@
                 });
     }
 
-    /** Returns the newest version of a model's weights that the server is known to have. */
+    /** Returns the version of a model's weights that a request for the server names. */
     long weights(String model) {
+        return observedWeights(model);
+    }
+
+    /** Returns the newest version of a model's weights that the server was seen to have. */
+    long observedWeights(String model) {
         long announced = mRecord.getWeightsOrDefault(model, 0);
         long told = mNotice.map(notice -> notice.getWeightsOrDefault(model, 0)).orElse(0L);
         long learned = mLearnedWeights.getOrDefault(model, 0L);
--- a/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
@@ -70,9 +70,10 @@
         return mPartial.readableBytes() > mMaximumEventBytes;
     }
 
-    /** Drops an unfinished event, whose rest will not come. */
-    void dropPartial() {
+    /** Another server goes on: the rest of an unfinished event will not come. */
+    void startsOver() {
         mPartial = Unpooled.EMPTY_BUFFER;
+        mLastWeights = Optional.empty();
     }
 
     /** Returns the index behind the last blank line. */
--- a/gateway/src/main/java/org/ibisstand/gateway/Placement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Placement.java
@@ -30,16 +30,14 @@
      * @param server the backend server
      * @param source the address of the engine or store to fetch shared parts from, if that pays
      * @param target the address of the store that keeps the prompt afterwards
-     * @param salt that the prompt is cached under there
-     * @param weights the version of the weights there; zero if there are none
+     * @param scope of the KV cache that the request may use there
      * @param cost the expected time until it answers, in the unit of the decision
      */
     record Place(
             BackendServer server,
             Optional<String> source,
             Optional<String> target,
-            String salt,
-            long weights,
+            CacheScope scope,
             double cost) {}
 
     /**
@@ -68,7 +66,7 @@
     }
 
     private static Place plainPlace(BackendServer server, double cost) {
-        return new Place(server, Optional.empty(), Optional.empty(), "", 0, cost);
+        return new Place(server, Optional.empty(), Optional.empty(), CacheScope.NONE, cost);
     }
 
     /** The share of its slots that a server has in use, slowed by its present pace. */
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -85,8 +85,8 @@
         }
 
         /** Prompts that were read with other weights are never found. */
-        String salt(BackendServer server) {
-            return team + "-" + server.weights(prompt.model());
+        CacheScope scope(BackendServer server) {
+            return CacheScope.of(team, server.weights(prompt.model()));
         }
     }
 
@@ -106,19 +106,18 @@
     }
 
     /**
-     * Returns an engine that can go on with a run of another one: the same weights, steady, and
-     * with room for the whole run. Many entries move runs at the same moment and see the same
-     * notices, so the better of two random engines is taken.
+     * Returns an engine that can go on with a run of another one: with the weights that the run's
+     * memory was made under, steady, and with room for the whole run. Many entries move runs at the
+     * same moment and see the same notices, so the better of two random engines is taken.
      */
-    Optional<Place> refuge(Task task, BackendServer from) {
+    Optional<Place> refuge(Task task, BackendServer from, CacheScope scope) {
         long now = mClock.millis();
         Prompt prompt = task.prompt();
-        long weights = from.weights(prompt.model());
         long needed = (long) prompt.promptTokens() + prompt.outputTokens();
         long capacity = task.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
         List<BackendServer> engines =
                 mDirectory.ready(task.service(), task.tried()).stream()
-                        .filter(one -> one != from && one.weights(prompt.model()) == weights)
+                        .filter(one -> one != from && hasObserved(one, prompt, scope))
                         .filter(one -> !one.isLoading(now) && !one.isPaused(now))
                         .filter(one -> usedTokens(one, now) + needed <= capacity)
                         .toList();
@@ -133,15 +132,14 @@
                         one -> {
                             BackendServer engine = engines.get(one.server());
                             return new Place(
-                                    engine,
-                                    Optional.empty(),
-                                    Optional.empty(),
-                                    task.salt(engine),
-                                    weights,
-                                    one.cost());
+                                    engine, Optional.empty(), Optional.empty(), scope, one.cost());
                         });
     }
 
+    private static boolean hasObserved(BackendServer engine, Prompt prompt, CacheScope scope) {
+        return engine.observedWeights(prompt.model()) == scope.weights();
+    }
+
     private static long usedTokens(BackendServer engine, long now) {
         return engine.notice(now).map(EngineNotice::getUsedTokens).orElse(0L);
     }
@@ -149,9 +147,9 @@
     /** Notes that a prompt was sent, so that its shared part is expected there. */
     void sent(Prompt prompt, Place place) {
         long now = mClock.millis();
-        mParts.sent(place.salt(), prompt.sharedKey(), place.server().name(), now);
+        mParts.sent(place.scope().salt(), prompt.sharedKey(), place.server().name(), now);
         if (place.target().isPresent()) {
-            mParts.saved(place.salt(), prompt.sharedKey(), now);
+            mParts.saved(place.scope().salt(), prompt.sharedKey(), now);
         }
     }
 
@@ -197,7 +195,7 @@
             server.notice(now)
                     .map(EngineNotice::getAgent)
                     .filter(agent -> !agent.isEmpty())
-                    .ifPresent(agent -> salts.put(agent, task.salt(server)));
+                    .ifPresent(agent -> salts.put(agent, task.scope(server).salt()));
         }
         return salts;
     }
@@ -230,36 +228,35 @@
             List<EngineCost.Engine> engines,
             ServerChoice.Candidate chosen) {
         BackendServer server = servers.get(chosen.server());
+        CacheScope scope = task.scope(server);
+        boolean moves = task.moves();
         Optional<String> kept =
-                task.store().filter(store -> task.moves()).map(store -> store.address().toString());
+                task.store().filter(store -> moves).map(store -> store.address().toString());
         boolean lacks = engines.get(chosen.server()).heldTokens() < task.prompt().sharedTokens();
         Optional<String> source =
-                task.moves() && lacks
+                moves && lacks
                         ? peer(task, servers, engines, chosen.server()).or(() -> kept)
                         : kept;
         return new Place(
-                server,
-                source,
-                kept.filter(store -> isUnsaved(task, server)),
-                task.salt(server),
-                server.weights(task.prompt().model()),
-                chosen.cost());
+                server, source, kept.filter(store -> isUnsaved(task, scope)), scope, chosen.cost());
     }
 
     /** The link of the store is shared by all engines: what it has is not sent again. */
-    private boolean isUnsaved(Task task, BackendServer server) {
-        return mParts.isUnsaved(task.salt(server), task.prompt().sharedKey(), mClock.millis());
+    private boolean isUnsaved(Task task, CacheScope scope) {
+        return mParts.isUnsaved(scope.salt(), task.prompt().sharedKey(), mClock.millis());
     }
 
     /** Returns the engine that holds most, if that is all; links of engines are the fastest. */
     private Optional<String> peer(
             Task task, List<BackendServer> servers, List<EngineCost.Engine> engines, int chosen) {
-        String salt = task.salt(servers.get(chosen));
+        CacheScope scope = task.scope(servers.get(chosen));
+        long now = mClock.millis();
         for (int index = 0; index < servers.size(); index++) {
             boolean holdsAll = engines.get(index).heldTokens() >= task.prompt().sharedTokens();
-            boolean isUsable = index != chosen && !servers.get(index).isPaused(mClock.millis());
-            if (holdsAll && isUsable && task.salt(servers.get(index)).equals(salt)) {
-                return Optional.of(servers.get(index).record().getAddress());
+            BackendServer server = servers.get(index);
+            boolean isUsable = index != chosen && !server.isPaused(now);
+            if (holdsAll && isUsable && task.scope(server).equals(scope)) {
+                return Optional.of(server.record().getAddress());
             }
         }
         return Optional.empty();
@@ -350,7 +347,8 @@
         if (answer.isPresent()) {
             return prompt.tokensOf(answer.get().getHeldParts());
         }
-        boolean wasSent = mParts.holds(task.salt(server), prompt.sharedKey(), server.name(), now);
+        boolean wasSent =
+                mParts.holds(task.scope(server).salt(), prompt.sharedKey(), server.name(), now);
         return wasSent ? prompt.sharedTokens() : 0;
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestCopy.java
@@ -37,10 +37,9 @@
      * @param leftMilliseconds how long the answer is waited for
      * @param lastEvent the last event that the caller has, if a stream goes on
      * @param runSource where the memory of the run is that goes on, if one does
-     * @param salt that the prompt is cached under
+     * @param scope of the KV cache that the request may use
      * @param source where shared parts of the prompt are fetched from
      * @param target the store that keeps the prompt afterwards
-     * @param weights the version that the server has; zero if that is not known
      * @param urgency orders the queue of an engine, 0 first
      */
     record Dispatch(
@@ -48,10 +47,9 @@
             long leftMilliseconds,
             Optional<String> lastEvent,
             Optional<String> runSource,
-            String salt,
+            CacheScope scope,
             Optional<String> source,
             Optional<String> target,
-            long weights,
             int urgency) {}
 
     /** Returns the request for one server. */
@@ -63,12 +61,12 @@
         dispatch.lastEvent().ifPresent(event -> headers.set(mNames.lastEvent(), event));
         dispatch.runSource().ifPresent(source -> headers.set(mNames.runSource(), source));
         if (mHasPrompt) {
-            headers.set(mNames.cacheSalt(), dispatch.salt());
+            headers.set(mNames.cacheSalt(), dispatch.scope().salt());
             headers.set(mNames.urgency(), dispatch.urgency());
             dispatch.source().ifPresent(source -> headers.set(mNames.cacheSource(), source));
             dispatch.target().ifPresent(target -> headers.set(mNames.cacheTarget(), target));
-            if (dispatch.weights() > 0) {
-                headers.set(mNames.expectedWeights(), dispatch.weights());
+            if (dispatch.scope().isShared()) {
+                headers.set(mNames.expectedWeights(), dispatch.scope().weights());
             }
         }
         int length = mRequest.body().readableBytes();
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
@@ -73,8 +73,8 @@
         runSource.ifPresent(source -> line.with("run_from", source));
         prompt.ifPresent(
                 one ->
-                        line.with("salt", place.salt())
-                                .with("weights", place.weights())
+                        line.with("salt", place.scope().salt())
+                                .with("weights", place.scope().weights())
                                 .with("part", one.sharedKey())
                                 .with("shared_tokens", one.sharedTokens())
                                 .with("prompt_tokens", one.promptTokens()));
@@ -100,7 +100,7 @@
                 line("run_moved")
                         .with("server", attempt.server().name())
                         .with("to", isCopied ? target.name() : "")
-                        .with("made_under", attempt.weights());
+                        .with("made_under", attempt.scope().weights());
         attempt.changedWeights().ifPresent(version -> line.with("changed_to", version));
         attempt.model()
                 .ifPresent(
--- a/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
@@ -29,8 +29,9 @@
      *
      * @param runSource what the request says of the run's memory
      * @param stoppedAt the engine that stopped it and keeps its memory for a while
+     * @param scope of the KV cache that the memory was made from
      */
-    private record Continuation(String runSource, BackendServer stoppedAt) {}
+    private record Continuation(String runSource, BackendServer stoppedAt, CacheScope scope) {}
 
     /** Returns whether the present attempt goes on with a run that was stopped. */
     boolean goesOn() {
@@ -62,13 +63,14 @@
                 || cameBack) {
             return;
         }
-        boolean isMovable = mForwarding.admitted().isMovable();
+        boolean isMovable = mForwarding.admitted().isMovable() && isOfOneVersion(attempt);
         Optional<Placement.Place> refuge =
                 isMovable
                         ? mGateway.promptPlacement()
                                 .refuge(
                                         mForwarding.admitted().task(mForwarding.tried()),
-                                        attempt.server())
+                                        attempt.server(),
+                                        attempt.scope())
                         : Optional.empty();
         if (refuge.isEmpty()) {
             mRefusedMoves = MAXIMUM_REFUSED_MOVES;
@@ -89,11 +91,26 @@
         mForwarding.endAttempt(attempt);
         mLog.moved(attempt, target, stopped.isCopied());
         mGateway.metrics().counted("runs_moved");
-        mContinuation =
-                Optional.of(new Continuation(from.address() + "/" + stopped.handle(), from));
+        if (!isOfOneVersion(attempt)) {
+            startAnewOrGiveUp("memory_of_other_weights");
+            return;
+        }
+        String source = from.address() + "/" + stopped.handle();
+        mContinuation = Optional.of(new Continuation(source, from, attempt.scope()));
         mForwarding.sendTo(place(stopped.isCopied() ? target : from));
     }
 
+    /**
+     * Returns whether the memory of a run was made under the weights that its request named, and no
+     * others: its engine may have loaded newer ones since, and let the run go on.
+     */
+    private static boolean isOfOneVersion(Attempt attempt) {
+        long observed = attempt.server().observedWeights(attempt.model().orElseThrow());
+        return attempt.scope().isShared()
+                && attempt.scope().weights() == observed
+                && attempt.changedWeights().isEmpty();
+    }
+
     /** The run was not stopped: its stream goes on, or has ended by itself. */
     void notMoved(
             Attempt attempt, BackendServer target, String reason, Optional<Runnable> streamEnd) {
@@ -116,8 +133,14 @@
         BackendServer stoppedAt = mContinuation.get().stoppedAt();
         if (attempt.server() != stoppedAt) {
             mForwarding.sendTo(place(stoppedAt));
-        } else if (mForwarding.isRepeatable()) {
-            mContinuation = Optional.empty();
+        } else {
+            startAnewOrGiveUp(reason);
+        }
+    }
+
+    private void startAnewOrGiveUp(String reason) {
+        mContinuation = Optional.empty();
+        if (mForwarding.isRepeatable()) {
             mForwarding.repeatOrGiveUp(reason);
         } else {
             mForwarding.giveUp(reason);
@@ -125,13 +148,7 @@
     }
 
     private Placement.Place place(BackendServer server) {
-        String model = mForwarding.admitted().prompt().get().model();
-        return new Placement.Place(
-                server,
-                Optional.empty(),
-                Optional.empty(),
-                mForwarding.admitted().task(mForwarding.tried()).salt(server),
-                server.weights(model),
-                0);
+        CacheScope scope = mContinuation.get().scope();
+        return new Placement.Place(server, Optional.empty(), Optional.empty(), scope, 0);
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
@@ -29,7 +29,7 @@
         if (!mBegun) {
             mHead = Optional.of(head);
         }
-        mSplitter.dropPartial();
+        mSplitter.startsOver();
     }
 
     /** Returns whether the caller has got a part of the answer. */
--- a/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
@@ -39,7 +39,7 @@
     @Test
     void goesOnWithAnotherServerAfterAnUnfinishedEvent() {
         take("id: 1\ndata: a\n\nid: 2\nda");
-        mSplitter.dropPartial();
+        mSplitter.startsOver();
 
         assertThat(take("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     }
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -68,7 +68,7 @@
         return new Attempt(
                 null,
                 null,
-                new Placement.Place(server, Optional.empty(), Optional.empty(), "", 0, 0),
+                new Placement.Place(server, Optional.empty(), Optional.empty(), CacheScope.NONE, 0),
                 Optional.empty());
     }
 
