Share no KV cache while an engine's weights are not known

A request for an engine of which no weights are known yet had the salt team-0 and named no weights, so that engines of different versions found each other's parts under it, from a peer and from the store.

Evidence: StaleMemoryTest.enginesOfUnknownWeightsSharedParts failed before by both origins.

Change: the scope of such a request has a salt of its own, and neither a source nor the store.

--- a/gateway/src/main/java/org/ibisstand/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/AdmittedRequest.java
@@ -80,6 +80,7 @@
                 mService.get(),
                 mPrompt.get(),
                 cacheTeam(),
+                Long.toHexString(mGateway.random().nextLong()),
                 mGateway.table().flatMap(RouteTable::cacheStore),
                 Set.copyOf(tried));
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/CacheScope.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CacheScope.java
@@ -19,9 +19,11 @@
      *
      * @param team separates the cached prompts of isolated teams
      * @param weights the version that the engine is believed to have; zero if that is not known
+     * @param request differs for each request, which shares nothing while the weights are unknown
      */
-    static CacheScope of(String team, long weights) {
-        return new CacheScope(team + "-" + weights, weights);
+    static CacheScope of(String team, long weights, String request) {
+        String suffix = weights == UNKNOWN ? "unknown-" + request : Long.toString(weights);
+        return new CacheScope(team + "-" + suffix, weights);
     }
 
     /** Returns whether other engines may fetch what is made in this scope, or provide it. */
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -71,6 +71,7 @@
      * @param service the service that the request goes to
      * @param prompt of the request
      * @param team separates the cached prompts of isolated teams
+     * @param request differs for each request
      * @param store keeps prompts that engines have no room for
      * @param tried servers that are not asked again
      */
@@ -78,6 +79,7 @@
             RoutedService service,
             Prompt prompt,
             String team,
+            String request,
             Optional<CacheStore> store,
             Set<BackendServer> tried) {
         boolean moves() {
@@ -86,7 +88,7 @@
 
         /** Prompts that were read with other weights are never found. */
         CacheScope scope(BackendServer server) {
-            return CacheScope.of(team, server.weights(prompt.model()));
+            return CacheScope.of(team, server.weights(prompt.model()), request);
         }
     }
 
@@ -229,7 +231,7 @@
             ServerChoice.Candidate chosen) {
         BackendServer server = servers.get(chosen.server());
         CacheScope scope = task.scope(server);
-        boolean moves = task.moves();
+        boolean moves = task.moves() && scope.isShared();
         Optional<String> kept =
                 task.store().filter(store -> moves).map(store -> store.address().toString());
         boolean lacks = engines.get(chosen.server()).heldTokens() < task.prompt().sharedTokens();
