Take a guess of an engine's weights for no observation

After a refusal (421) the gateway believed for good that the engine has the newest named weights. A run of an engine that really has version 2 was moved to one with 3, as both were believed to have 3; and requests for the first were refused until it had the newest ones.

Evidence: StaleMemoryTest.aGuessOfAnEnginesWeightsMovedItsRunToOtherWeights failed before.

Change: a guess serves the next request alone, which names it and is refused if it is wrong; the next notice or answer ends it, and runs move by observed weights only.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -50,6 +50,7 @@
     private int mSentSinceLoad;
     private final Set<Attempt> mAttempts = new LinkedHashSet<>();
     private final Map<String, Long> mLearnedWeights = new HashMap<>();
+    private final Map<String, Long> mSuspectedWeights = new HashMap<>();
     private Optional<EngineNotice> mNotice = Optional.empty();
     private long mNoticeAt;
     private long mHeardAt;
@@ -139,6 +140,7 @@
     void noticed(EngineNotice notice, long now) {
         Map<String, Long> known = weightsOf(notice.getWeightsMap().keySet());
         mNotice = Optional.of(notice);
+        mSuspectedWeights.clear();
         logChanges(known, "notice");
         mNoticeAt = now;
     }
@@ -167,13 +169,21 @@
         return now - mNoticeAt;
     }
 
-    /** Notes that an answer, or a refusal, told of weights that no record tells of yet. */
+    /** Notes that an answer told of weights that no record tells of yet. */
     void learnedWeights(String model, long version) {
         Map<String, Long> known = weightsOf(Set.of(model));
         mLearnedWeights.merge(model, version, Math::max);
+        mSuspectedWeights.remove(model);
         logChanges(known, "answer");
     }
 
+    /** Guesses what the server has, as it refused other weights, until it or its agent tells. */
+    void suspectedWeights(String model, long version) {
+        Map<String, Long> known = weightsOf(Set.of(model));
+        mSuspectedWeights.merge(model, version, Math::max);
+        logChanges(known, "refusal");
+    }
+
     private Map<String, Long> weightsOf(Set<String> models) {
         return models.stream().collect(Collectors.toMap(model -> model, this::weights));
     }
@@ -194,9 +204,12 @@
                 });
     }
 
-    /** Returns the version of a model's weights that a request for the server names. */
+    /**
+     * Returns the version of a model's weights that a request for the server names, which may be a
+     * guess: a server with another version refuses the request.
+     */
     long weights(String model) {
-        return observedWeights(model);
+        return Math.max(observedWeights(model), mSuspectedWeights.getOrDefault(model, 0L));
     }
 
     /** Returns the newest version of a model's weights that the server was seen to have. */
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -256,7 +256,7 @@
     /** A server that is another, or has other weights, most likely has the newest by now. */
     private void suspectWeights(BackendServer server, Prompt prompt) {
         long named = mGateway.weights().newest(prompt.model());
-        server.learnedWeights(prompt.model(), named);
+        server.suspectedWeights(prompt.model(), named);
     }
 
     /** The attempt may have run and has no whole answer. */
