Fetch parts of the newest weights only, and from engines that tell theirs

A run that goes on under newer weights and is preempted is read again under them. Its parts then lie under the salt of its older weights: at its engine, and in the store, which keeps a part as it was first made. An engine with the older weights fetched them there.

Change: once newer weights are named, parts of the older ones are used where they were made, and neither fetched nor saved. A peer has to be one whose agent says that it has these weights and loads no others.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -155,6 +155,11 @@
         return notice(now).filter(EngineNotice::getLoading).isPresent();
     }
 
+    /** Returns whether the agent says that the engine has these weights and loads no others. */
+    boolean isSteady(String model, long version, long now) {
+        return notice(now).isPresent() && !isLoading(now) && observedWeights(model) == version;
+    }
+
     /** Returns whether runs should go on elsewhere: the engine loads weights, or ends soon. */
     boolean losesRuns(long now) {
         return isLoading(now)
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -231,7 +231,7 @@
             ServerChoice.Candidate chosen) {
         BackendServer server = servers.get(chosen.server());
         CacheScope scope = task.scope(server);
-        boolean moves = task.moves() && scope.isShared();
+        boolean moves = task.moves() && scope.isShared() && isNewest(task, scope);
         Optional<String> kept =
                 task.store().filter(store -> moves).map(store -> store.address().toString());
         boolean lacks = engines.get(chosen.server()).heldTokens() < task.prompt().sharedTokens();
@@ -243,6 +243,14 @@
                 server, source, kept.filter(store -> isUnsaved(task, scope)), scope, chosen.cost());
     }
 
+    /**
+     * A run that goes on under newer weights, and is preempted, reads its parts again and caches
+     * them under the salt of its older ones. So parts of older weights stay where they were made.
+     */
+    private boolean isNewest(Task task, CacheScope scope) {
+        return scope.weights() >= mWeights.newest(task.prompt().model());
+    }
+
     /** The link of the store is shared by all engines: what it has is not sent again. */
     private boolean isUnsaved(Task task, CacheScope scope) {
         return mParts.isUnsaved(scope.salt(), task.prompt().sharedKey(), mClock.millis());
@@ -257,7 +265,9 @@
             boolean holdsAll = engines.get(index).heldTokens() >= task.prompt().sharedTokens();
             BackendServer server = servers.get(index);
             boolean isUsable = index != chosen && !server.isPaused(now);
-            if (holdsAll && isUsable && task.scope(server).equals(scope)) {
+            if (holdsAll
+                    && isUsable
+                    && server.isSteady(task.prompt().model(), scope.weights(), now)) {
                 return Optional.of(server.record().getAddress());
             }
         }
