Hand no run to an engine that no agent speaks of while others do

The copies were lost to the load.

A run now goes to an engine whose agent tells that it is steady; only where no agent speaks of the run's own engine either, what the engine announced is enough. The test of handed-over runs lets both engines be noticed, as agents do; it asserts what it did before.

--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -119,8 +119,8 @@
         long capacity = task.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
         List<BackendServer> engines =
                 mDirectory.ready(task.service(), task.tried()).stream()
-                        .filter(one -> one != from && hasObserved(one, prompt, scope))
-                        .filter(one -> !one.isLoading(now) && !one.isPaused(now))
+                        .filter(one -> one != from && canGoOn(one, from, prompt, scope))
+                        .filter(one -> !one.isPaused(now))
                         .filter(one -> usedTokens(one, now) + needed <= capacity)
                         .toList();
         List<ServerChoice.Candidate> candidates = new ArrayList<>();
@@ -138,8 +138,14 @@
                         });
     }
 
-    private static boolean hasObserved(BackendServer engine, Prompt prompt, CacheScope scope) {
-        return engine.observedWeights(prompt.model()) == scope.weights();
+    /** Where agents tell of engines, one that nothing is known of yet may be loading weights. */
+    private boolean canGoOn(
+            BackendServer engine, BackendServer from, Prompt prompt, CacheScope scope) {
+        long now = mClock.millis();
+        return engine.isSteady(prompt.model(), scope.weights(), now)
+                || (from.notice(now).isEmpty()
+                        && engine.notice(now).isEmpty()
+                        && engine.observedWeights(prompt.model()) == scope.weights());
     }
 
     private static long usedTokens(BackendServer engine, long now) {
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -179,15 +179,15 @@
                                 .findFirst()
                                 .orElse(null);
             }
-            mGateway.noticed(
-                            EngineNotices.newBuilder()
-                                    .addEngines(
-                                            EngineNotice.newBuilder()
-                                                    .setAddress(first.address())
-                                                    .setLoading(true)
-                                                    .putWeights(MODEL, 1))
-                                    .build())
-                    .join();
+            EngineNotices.Builder notices = EngineNotices.newBuilder();
+            for (ScriptedServer server : mServers) {
+                notices.addEngines(
+                        EngineNotice.newBuilder()
+                                .setAddress(server.address())
+                                .setLoading(server == first)
+                                .putWeights(MODEL, 1));
+            }
+            mGateway.noticed(notices.build()).join();
             mNoticed.countDown();
             return read(caller);
         }
