Copy and search an unfinished event once, however small its pieces

What callers saw: a server that sends an event without end in pieces of a few bytes held up the traffic thread, and with it all callers of the gateway: a request that could go to another server was answered 504 at its time limit of 2 s. Cause: for each piece the event splitter copied the whole unfinished event and searched all of it for a blank line, so that 256 KiB in pieces of 4 bytes were copied 65,536 times. Ruled out: the limit of an unfinished event, which was in force, but reached too late. Change: pieces are added to the bytes that are held, and only new bytes are searched.

--- a/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
@@ -32,10 +32,10 @@
      * @return empty bytes while no event is complete
      */
     ByteBuf take(ByteBuf bytes) {
-        ByteBuf joined = Unpooled.buffer(mPartial.readableBytes() + bytes.readableBytes());
-        joined.writeBytes(mPartial);
+        int known = mPartial.readableBytes();
+        ByteBuf joined = known > 0 ? mPartial : Unpooled.buffer(bytes.readableBytes());
         joined.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-        int end = endOfLastEvent(joined);
+        int end = endOfLastEvent(joined, known);
         if (end == 0) {
             mPartial = joined;
             return Unpooled.EMPTY_BUFFER;
@@ -60,9 +60,9 @@
         mPartial = Unpooled.EMPTY_BUFFER;
     }
 
-    /** Returns the index behind the last blank line. */
-    private static int endOfLastEvent(ByteBuf bytes) {
-        for (int index = bytes.readableBytes() - 1; index > 0; index--) {
+    /** Returns the index behind the last blank line that ends in the bytes from an index on. */
+    private static int endOfLastEvent(ByteBuf bytes, int from) {
+        for (int index = bytes.readableBytes() - 1; index >= Math.max(1, from); index--) {
             if (bytes.getByte(index) == '\n' && isBlankBefore(bytes, index)) {
                 return index + 1;
             }
--- a/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EventSplitterTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.sun.management.ThreadMXBean;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -12,6 +14,8 @@
 class EventSplitterTest {
     private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n";
 
+    private static final int PIECES = 16_384;
+
     private final EventSplitter mSplitter = new EventSplitter(100);
 
     @ParameterizedTest
@@ -51,6 +55,20 @@
         assertThat(mSplitter.isOverlong()).isTrue();
     }
 
+    @Test
+    void anEndlessEventInSmallPiecesIsNotCopiedAgainForEachPiece() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        ByteBuf piece = Unpooled.copiedBuffer("data", StandardCharsets.UTF_8);
+        long before = threads.getCurrentThreadAllocatedBytes();
+
+        for (int count = 0; count < PIECES; count++) {
+            mSplitter.take(piece);
+        }
+
+        assertThat(threads.getCurrentThreadAllocatedBytes() - before).isLessThan(1L << 20);
+        assertThat(mSplitter.isOverlong()).isTrue();
+    }
+
     @Test
     void takesLinesThatEndWithBothCharacters() {
         assertThat(take("id: 1\r\ndata: a\r\n\r\n")).isEqualTo("id: 1\r\ndata: a\r\n\r\n");
