Close a server's connection after a megabyte that brings no answer

What callers saw: a request whose server sent interim heads, answers of other requests or chunk extensions without end waited for its time limit, 504 after 2 s in the tests, although another server was free. The connection and the traffic thread were busy with those bytes all the time, and the server counted as alive. Cause: interim heads and answers of other requests are passed over, with no limit of how many; a chunk of one byte may carry 8 KiB of extensions. Ruled out, as these cases pass on the old code: an endless status line, header line, head, chunk extension or trailer and another protocol (limits of the HTTP codec), endless bodies (8 MiB) and events (256 KiB), and bytes behind an answer. Change: a connection counts its bytes before they are decoded. A megabyte that brings neither the head nor a body in proportion ends the attempt; bytes on a connection that carries no request close it.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -35,6 +35,15 @@
     /** Kept free before the stated timeout, for the way there and late timers. */
     private static final long KEEP_ALIVE_MARGIN_MILLISECONDS = 500;
 
+    /**
+     * Bytes that may come without bringing the answer: several answers of other requests, which
+     * arrive within milliseconds.
+     */
+    private static final int MAXIMUM_FRUITLESS_BYTES = 1 << 20;
+
+    /** Other bytes that one byte of a body makes up for; a chunk of one byte takes six. */
+    private static final int FRUITLESS_PER_BODY_BYTE = 16;
+
     private final BackendServer mServer;
     private final ForwardingHeaders mNames;
     private final Clock mClock;
@@ -46,6 +55,7 @@
     private boolean mFramed;
     private boolean mReusable;
     private boolean mClosed;
+    private long mFruitlessBytes;
     private long mUsableUntil;
     private long mIdleSince;
 
@@ -68,6 +78,7 @@
         mRequest = identifier;
         mWritten = false;
         mReusable = true;
+        mFruitlessBytes = 0;
         mUsableUntil = mClock.millis() + DEFAULT_KEEP_ALIVE_MILLISECONDS;
         mChannel.writeAndFlush(request).addListener(written -> mWritten = written.isSuccess());
     }
@@ -84,6 +95,27 @@
         mChannel.close();
     }
 
+    /**
+     * Notes bytes before they are decoded, since the decoder reports only whole lines and pieces.
+     *
+     * @return whether they are worth decoding
+     */
+    boolean receives(int bytes) {
+        if (mClosed) {
+            return false;
+        }
+        if (mExchange.isEmpty()) {
+            close();
+            return false;
+        }
+        mFruitlessBytes += bytes;
+        if (mFruitlessBytes > MAXIMUM_FRUITLESS_BYTES) {
+            fail("endless bytes that bring no answer");
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
@@ -149,6 +181,7 @@
             fail("the answer is encoded, which no caller asked for");
         } else {
             noteKeepAlive(head);
+            mFruitlessBytes = 0;
             mExchange.get().head(head);
         }
     }
@@ -169,6 +202,8 @@
             mSkipping = !isLast;
             return;
         }
+        long madeUpFor = (long) FRUITLESS_PER_BODY_BYTE * content.content().readableBytes();
+        mFruitlessBytes = Math.max(0, mFruitlessBytes - madeUpFor);
         ExchangeListener exchange = mExchange.get();
         if (content.content().isReadable()) {
             exchange.data(content.content());
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
@@ -105,6 +105,7 @@
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline()
+                    .addLast(new ReceivedBytes(mConnection))
                     .addLast(
                             new HttpClientCodec(
                                     MAXIMUM_LINE_BYTES,
--- /dev/null
+++ b/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
@@ -0,0 +1,179 @@
+package org.ibisstand.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.ibisstand.gateway.ScriptedServer.whole;
+import static org.ibisstand.gateway.ScriptedServer.write;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ibisstand.base.MonotonicClock;
+import org.ibisstand.fleet.FleetState;
+import org.ibisstand.settings.Address;
+import org.ibisstand.settings.Route;
+import org.ibisstand.settings.Route.Repetition;
+import org.ibisstand.wire.message.ServerRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The gateway before servers whose bytes never end until their connection is closed. */
+class EndlessAnswersTest {
+    private static final String OK = "HTTP/1.1 200 X\r\nx-signature: s\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
+
+    private final List<ScriptedServer> mServers = new ArrayList<>();
+    private final GatewayDaemon mGateway =
+            GatewayDaemon.start(
+                    new GatewaySettings(
+                            "gateway",
+                            "zone",
+                            new Address("127.0.0.1", 0),
+                            List.of(),
+                            1.0,
+                            1_000,
+                            10_000,
+                            1_500),
+                    Samples.NAMES,
+                    headers -> Optional.empty(),
+                    Samples.RUN_MOVES,
+                    MonotonicClock.start(),
+                    new MetricRegistry());
+
+    @AfterEach
+    void close() {
+        mGateway.close();
+        mServers.forEach(ScriptedServer::close);
+    }
+
+    /** What comes before the endless part, and what is repeated without end. */
+    enum Endless {
+        BLANK_LINES("", "\r\n"),
+        STATUS_LINE("", "no answer "),
+        HEADER_LINE(OK + "x-long: ", "x"),
+        HEADERS(OK, "x-one: 1\r\n"),
+        INFORMATIONAL_HEADS("", "HTTP/1.1 102 X\r\n\r\n"),
+        EMPTY_ANSWERS_OF_ANOTHER(
+                "", "HTTP/1.1 200 X\r\nx-request: other\r\nContent-Length: 0\r\n\r\n"),
+        CHUNKED_ANSWER_OF_ANOTHER(
+                "HTTP/1.1 200 X\r\nx-request: other\r\n" + CHUNKED, "4\r\nbody\r\n"),
+        ANSWER_OF_ANOTHER("HTTP/1.1 200 X\r\nx-request: other\r\n\r\n", "body"),
+        OTHER_PROTOCOL("HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n", "other"),
+        CHUNK_EXTENSION(OK + "x-request: r1\r\n" + CHUNKED + "1;", "x"),
+        CHUNK_EXTENSIONS(
+                OK + "x-request: r1\r\n" + CHUNKED, "1;" + "x".repeat(8_000) + "\r\nb\r\n"),
+        TRAILERS(OK + "x-request: r1\r\n" + CHUNKED + "0\r\n", "x-one: 1\r\n"),
+        BODY_WITHOUT_LENGTH(OK + "x-request: r1\r\n\r\n", "body"),
+        CHUNK(OK + "x-request: r1\r\n" + CHUNKED + "7fffffff\r\n", "body"),
+        CHUNKS(OK + "x-request: r1\r\n" + CHUNKED, "4\r\nbody\r\n"),
+        FAILURE("HTTP/1.1 500 X\r\nx-request: r1\r\n\r\n", "body");
+
+        private final String mStart;
+        private final String mRepeated;
+
+        Endless(String start, String repeated) {
+            mStart = start;
+            mRepeated = repeated;
+        }
+
+        private void answer(String request, String identifier, Socket connection)
+                throws IOException {
+            write(connection, mStart);
+            String block = mRepeated.repeat(Math.max(1, 8_192 / mRepeated.length()));
+            while (true) {
+                write(connection, block);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Endless.class)
+    void anEndlessAnswerIsRefusedAndItsConnectionClosed(Endless endless) throws Exception {
+        serve(Repetition.ONCE, endless::answer);
+
+        assertThat(call()).startsWith("HTTP/1.1 502");
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_MILLISECONDS)).isTrue();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Endless.class)
+    void aRequestWithAnEndlessAnswerGoesToAnotherServer(Endless endless) throws IOException {
+        serve(Repetition.RESUMABLE_STREAM, firstOnly(endless), firstOnly(endless));
+
+        assertThat(call()).contains("data: b\n\n");
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Endless.class,
+            names = {"BLANK_LINES", "INFORMATIONAL_HEADS", "ANSWER_OF_ANOTHER"})
+    void endlessBytesBehindAnAnswerCloseTheConnection(Endless endless) throws Exception {
+        serve(
+                Repetition.ONCE,
+                (request, identifier, connection) -> {
+                    whole(200, "x-signature: s\r\n", "mine")
+                            .answer(request, identifier, connection);
+                    endless.answer(request, identifier, connection);
+                });
+
+        assertThat(call()).endsWith("mine");
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_MILLISECONDS)).isTrue();
+    }
+
+    private ScriptedServer.Script firstOnly(Endless endless) {
+        return (request, identifier, connection) -> {
+            if (requests() == 1) {
+                endless.answer(request, identifier, connection);
+            } else {
+                write(connection, OK + "x-request: r1\r\n" + CHUNKED);
+                write(connection, "9\r\ndata: b\n\n\r\n0\r\n\r\n");
+            }
+        };
+    }
+
+    private long requests() {
+        return mServers.stream()
+                .flatMap(server -> server.requests().stream())
+                .filter(request -> request.startsWith("POST"))
+                .count();
+    }
+
+    private void serve(Repetition repetition, ScriptedServer.Script... scripts) {
+        Route route = Samples.route("/p/", repetition);
+        List<ServerRecord> records = new ArrayList<>();
+        for (ScriptedServer.Script script : scripts) {
+            ScriptedServer server = ScriptedServer.start(script);
+            mServers.add(server);
+            records.add(
+                    ServerRecord.newBuilder()
+                            .setServer("server-" + mServers.size())
+                            .setService("service")
+                            .setAddress(server.address())
+                            .setSlots(4)
+                            .build());
+        }
+        FleetState state =
+                new FleetState(
+                        Optional.of(Samples.configuration(List.of(route))), Map.of(), records, 1);
+        mGateway.update(state).join();
+    }
+
+    private String call() throws IOException {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), mGateway.port())) {
+            caller.setSoTimeout(READ_TIMEOUT_MILLISECONDS);
+            write(
+                    caller,
+                    "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\n"
+                            + "Authorization: Bearer key\r\nConnection: close\r\n"
+                            + "Content-Length: 0\r\n\r\n");
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+}
