Test that a blank line behind an answer closes its connection

What callers saw: a request on a kept connection whose server goes on with blank lines; the connection stayed among the idle ones, since the decoder passes over blank lines in silence.

--- a/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
@@ -20,6 +22,7 @@
 import org.ibisstand.settings.Route.Repetition;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -27,7 +30,7 @@
 class EndlessAnswersTest {
     private static final String OK = "HTTP/1.1 200 X\r\nx-signature: s\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
-    private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
+    private static final int READ_TIMEOUT_SECONDS = 10;
 
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway =
@@ -99,7 +102,7 @@
         serve(Repetition.ONCE, endless::answer);
 
         assertThat(call()).startsWith("HTTP/1.1 502");
-        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_MILLISECONDS)).isTrue();
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_SECONDS)).isTrue();
     }
 
     @ParameterizedTest
@@ -124,7 +127,32 @@
                 });
 
         assertThat(call()).endsWith("mine");
-        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_MILLISECONDS)).isTrue();
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_SECONDS)).isTrue();
+    }
+
+    @Test
+    void aBlankLineBehindAnAnswerClosesTheConnection() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        serve(
+                Repetition.ONCE,
+                (request, identifier, connection) -> {
+                    whole(200, "x-signature: s\r\n", "mine")
+                            .answer(request, identifier, connection);
+                    await(answered);
+                    write(connection, "\r\n");
+                });
+
+        assertThat(call()).endsWith("mine");
+        answered.countDown();
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_SECONDS)).isTrue();
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            assertThat(latch.await(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
     }
 
     private ScriptedServer.Script firstOnly(Endless endless) {
@@ -167,7 +195,7 @@
 
     private String call() throws IOException {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), mGateway.port())) {
-            caller.setSoTimeout(READ_TIMEOUT_MILLISECONDS);
+            caller.setSoTimeout(READ_TIMEOUT_SECONDS * 1_000);
             write(
                     caller,
                     "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\n"
