Refuse an answer to a run's move that is longer than 16 KiB

What callers saw: nothing in the test, whose gateway has memory enough; the gateway gathered the body of such an answer without limit until the move's patience of 600 ms was over, for each run that moved. Cause: RunMove held the body whole and compared its size with nothing. Evidence on the old code: EngineGatewayTest.anEndlessAnswerToAMoveIsReadNoFurtherThanItsLimit, "expected to be less than:, but was:" bytes taken from the engine. Ruled out: a leak after the patience; the connection was closed then. Change: a longer answer than 16 KiB ends the move and its connection, and the run stays where it is.

--- a/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
@@ -28,6 +28,9 @@
     /** The answer and the last bytes of the stream travel on two connections. */
     private static final long CLOSE_MILLISECONDS = 60;
 
+    /** The answer holds the name of a run's memory, which is far shorter. */
+    private static final int MAXIMUM_ANSWER_BYTES = 1 << 14;
+
     private final RunContinuation mRun;
     private final Gateway mGateway;
     private final Attempt mAttempt;
@@ -94,7 +97,12 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (!mDone) {
+        if (mDone) {
+            return;
+        }
+        if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+            fail("overlong_answer");
+        } else {
             mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
             mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
         }
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
@@ -44,6 +45,9 @@
             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
 
+    /** More than the system holds of what one socket sent and its peer did not read. */
+    private static final long SOCKET_BUFFERS_BYTES = 16 << 20;
+
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private RoutingConfiguration mConfiguration;
     private final CountDownLatch mNoticed = new CountDownLatch(1);
@@ -165,6 +169,40 @@
         assertThat(mServers.getFirst().requests()).hasSize(1);
     }
 
+    @Test
+    void anEndlessAnswerToAMoveIsReadNoFurtherThanItsLimit() throws Exception {
+        AtomicLong sentBytes = new AtomicLong();
+        ScriptedServer.Script moving = new MovingEngine(Handover.NOT_STOPPED);
+        ScriptedServer.Script endless =
+                (request, identifier, connection) -> {
+                    if (request.startsWith("POST /move/")) {
+                        sendWithoutEnd(connection, sentBytes);
+                    } else {
+                        moving.answer(request, identifier, connection);
+                    }
+                };
+        serve(Repetition.STREAM, endless, endless);
+
+        String answer = streamWhileTheEngineIsToLoad();
+
+        assertThat(answer.replaceAll("\r\n[0-9a-f]+\r\n", "")).contains(WHOLE_STREAM);
+        assertThat(sentBytes.get()).isLessThan(SOCKET_BUFFERS_BYTES);
+    }
+
+    /** Sends a body until the connection is closed, and then lets the run go on. */
+    private void sendWithoutEnd(Socket connection, AtomicLong sentBytes) throws IOException {
+        String block = "x".repeat(8_192);
+        try {
+            write(connection, "HTTP/1.1 200 X\r\n\r\n");
+            while (true) {
+                write(connection, block);
+                sentBytes.addAndGet(block.length());
+            }
+        } finally {
+            mMoveAsked.countDown();
+        }
+    }
+
     /** Asks for a stream, and lets its engine be noticed as about to load after event 1. */
     private String streamWhileTheEngineIsToLoad() throws Exception {
         weights(1, 1);
