Bound the memory of all answers that are held until they are whole

What callers saw: each answer of a plain call may take 8 MiB, and nothing bounded them together: with 16 endless bodies at once a process with the limits of a gateway (96 MB of heap) ended itself, and with it all requests at that entry. Cause: the limit counted for one answer at a time. Ruled out: a lower limit for one answer, which refuses answers that are served today.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -68,6 +68,7 @@
             mEnded = true;
             start();
             mServer.ended(this);
+            mGateway.heldAnswers().released(this, heldBytes());
             mBody.release();
             mBody = Unpooled.EMPTY_BUFFER;
         }
@@ -120,11 +121,20 @@
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
             mForwarding.attemptFailed(this, "overlong_answer", true);
         } else {
-            mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
-            mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
+            hold(data);
         }
     }
 
+    /** Returns the memory that the body of the answer takes. */
+    int heldBytes() {
+        return mBody.capacity();
+    }
+
+    /** The answers of all requests take too much memory. */
+    void giveUpHeld() {
+        mForwarding.attemptFailed(this, "overlong_answers", true);
+    }
+
     @Override
     public void finished(boolean framed) {
         if (!mForwarding.isCurrent(this)) {
@@ -178,6 +188,13 @@
         mForwarding.answered(this, head, mBody.retainedDuplicate());
     }
 
+    private void hold(ByteBuf data) {
+        int heldBefore = heldBytes();
+        mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
+        mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
+        mGateway.heldAnswers().grown(this, heldBytes() - heldBefore);
+    }
+
     private boolean isSuccess() {
         return mHead.get().status().codeClass() == HttpStatusClass.SUCCESS;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Gateway.java
@@ -32,6 +32,7 @@
     private final AgentOffers mOffers;
     private final Placement mPlacement;
     private final PromptPlacement mPromptPlacement;
+    private final HeldAnswers mHeldAnswers = new HeldAnswers();
     private final GatewayMetrics mMetrics;
     private final Map<String, RetryAllowance> mAllowances = new HashMap<>();
     private final Set<CallerHandler> mCallers = new LinkedHashSet<>();
@@ -157,6 +158,10 @@
         return mPromptPlacement;
     }
 
+    HeldAnswers heldAnswers() {
+        return mHeldAnswers;
+    }
+
     GatewayMetrics metrics() {
         return mMetrics;
     }
--- a/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
@@ -13,7 +13,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionService;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorCompletionService;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
@@ -31,6 +35,13 @@
     private static final String OK = "HTTP/1.1 200 X\r\nx-signature: s\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
     private static final int READ_TIMEOUT_SECONDS = 10;
+    private static final int CALLERS = 8;
+    private static final int BODY_BYTES = 7 << 20;
+
+    /** The memory that a body of this size takes, as it grows in steps. */
+    private static final int BODY_CAPACITY_BYTES = 8 << 20;
+
+    private static final long LONG_MILLISECONDS = 60_000;
 
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway =
@@ -147,6 +158,41 @@
         assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_SECONDS)).isTrue();
     }
 
+    @Test
+    void manyEndlessAnswersAtOnceTakeNoMoreMemoryThanTheirLimit() throws Exception {
+        CountDownLatch asked = new CountDownLatch(CALLERS);
+        CountDownLatch refused = new CountDownLatch(1);
+        String block = "x".repeat(8_192);
+        ScriptedServer.Script script =
+                (request, identifier, connection) -> {
+                    asked.countDown();
+                    await(asked);
+                    write(connection, OK + "x-request: r1\r\n\r\n");
+                    for (int sent = 0; sent < BODY_BYTES; sent += block.length()) {
+                        write(connection, block);
+                    }
+                    await(refused);
+                    connection.close();
+                };
+        serve(route(Repetition.ONCE, LONG_MILLISECONDS), script, script, script, script);
+
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            CompletionService<String> answers = new ExecutorCompletionService<>(threads);
+            for (int caller = 0; caller < CALLERS; caller++) {
+                answers.submit(this::call);
+            }
+            for (int held = CALLERS * BODY_CAPACITY_BYTES;
+                    held > HeldAnswers.MAXIMUM_BYTES;
+                    held -= BODY_CAPACITY_BYTES) {
+                assertThat(answers.take().get()).startsWith("HTTP/1.1 502");
+            }
+            refused.countDown();
+            for (int held = 0; held < HeldAnswers.MAXIMUM_BYTES; held += BODY_CAPACITY_BYTES) {
+                assertThat(answers.take().get()).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             assertThat(latch.await(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
@@ -174,7 +220,10 @@
     }
 
     private void serve(Repetition repetition, ScriptedServer.Script... scripts) {
-        Route route = Samples.route("/p/", repetition);
+        serve(Samples.route("/p/", repetition), scripts);
+    }
+
+    private void serve(Route route, ScriptedServer.Script... scripts) {
         List<ServerRecord> records = new ArrayList<>();
         for (ScriptedServer.Script script : scripts) {
             ScriptedServer server = ScriptedServer.start(script);
@@ -193,6 +242,23 @@
         mGateway.update(state).join();
     }
 
+    private static Route route(Repetition repetition, long timeoutMilliseconds) {
+        Route sample = Samples.route("/p/", repetition);
+        return new Route(
+                sample.name(),
+                sample.host(),
+                sample.pathPrefix(),
+                repetition,
+                timeoutMilliseconds,
+                sample.objectiveMilliseconds(),
+                sample.priority(),
+                sample.services(),
+                sample.maximumAttempts(),
+                sample.open(),
+                sample.sharedPrompts(),
+                sample.longestPauseMilliseconds());
+    }
+
     private String call() throws IOException {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), mGateway.port())) {
             caller.setSoTimeout(READ_TIMEOUT_SECONDS * 1_000);
