Close an engine's connection after seventeen interim heads

What callers saw: an agent whose engine sends interim heads without end reads them until its call is over, 1.5 s, and writes its request again after each head 100, whether the engine reads or not. After a head 102 the call counted as answered, and the connection was kept and read for longer than the test waits. Cause: the HTTP client bounds neither. Ruled out, as they pass on the old code: endless status lines, heads, chunk extensions and trailers (limits of the HTTP codec). Change: clients of backend servers pass over interim heads; the seventeenth, or a change of protocol, fails the call and closes the connection. They take no compressed answers, which they never asked for, and which grow when they are read.

--- a/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
+++ b/agent/src/main/java/org/ibisstand/agent/HttpBackend.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import org.asynchttpclient.AsyncHttpClient;
-import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
@@ -51,14 +50,11 @@
         Duration connectTimeout = Duration.ofMillis(timing.backendConnectTimeoutMilliseconds());
         Duration idleTimeout = Duration.ofMillis(timing.backendIdleTimeoutMilliseconds());
         return Dsl.asyncHttpClient(
-                new DefaultAsyncHttpClientConfig.Builder()
-                        .setEventLoopGroup(group)
-                        .setUseNativeTransport(false)
+                BackendHttp.settings(group)
                         .setMaxRequestRetry(0)
                         .setFollowRedirect(false)
                         .setCookieStore(null)
                         .setKeepAlive(keep)
-                        .setEnableAutomaticDecompression(false)
                         .setConnectTimeout(connectTimeout)
                         .setReadTimeout(idleTimeout)
                         .setShutdownQuietPeriod(Duration.ZERO)
