Read no further server for a caller who does not read

What callers saw: a stream that goes on at another server while its caller reads slowly filled the gateway's memory with events until the request's time limit. Cause: reading from a server is paused when the caller's connection is full and resumed when it is not; a server that takes the stream over in between was never told to pause. Ruled out: the first server, which is paused at 128 KiB. Change: each piece of a stream pauses its own connection if the caller's is full. Not changed: a paused server counts as silent after 0.8 s, which is why the stream moves in the test.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -115,7 +115,12 @@
         if (mRelay.isPresent()) {
             if (!mRelay.get().data(data)) {
                 mForwarding.attemptFailed(this, "overlong_event", true);
-            } else if (mServer.losesRuns(mGateway.now())) {
+                return;
+            }
+            if (!mRelay.get().takesMore()) {
+                setReading(false);
+            }
+            if (mServer.losesRuns(mGateway.now())) {
                 mForwarding.run().move(this);
             }
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
--- a/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
@@ -51,6 +51,11 @@
         return !mSplitter.isOverlong();
     }
 
+    /** Returns whether the caller reads as fast as it gets events, whichever server made them. */
+    boolean takesMore() {
+        return mCaller.isWritable();
+    }
+
     /** Returns whether the stream ended inside an event. */
     boolean hasPartial() {
         return mSplitter.hasPartial();
--- a/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -14,11 +15,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionService;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorCompletionService;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
@@ -34,6 +37,10 @@
 class EndlessAnswersTest {
     private static final String OK = "HTTP/1.1 200 X\r\nx-signature: s\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String REQUEST =
+            "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\n"
+                    + "Authorization: Bearer key\r\nConnection: close\r\n"
+                    + "Content-Length: 0\r\n\r\n";
     private static final int READ_TIMEOUT_SECONDS = 10;
     private static final int CALLERS = 8;
     private static final int BODY_BYTES = 7 << 20;
@@ -42,6 +49,10 @@
     private static final int BODY_CAPACITY_BYTES = 8 << 20;
 
     private static final long LONG_MILLISECONDS = 60_000;
+    private static final long SLOW_CALLER_MILLISECONDS = 5_000;
+
+    /** More than the sockets hold of what a server sent and nobody read. */
+    private static final long SOCKET_BUFFERS_BYTES = 48 << 20;
 
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway =
@@ -193,6 +204,44 @@
         }
     }
 
+    @Test
+    void anEndlessStreamToACallerWhoDoesNotReadIsNotReadFromAFurtherServer() throws Exception {
+        List<AtomicLong> sentBytes = new CopyOnWriteArrayList<>();
+        CountDownLatch ended = new CountDownLatch(2);
+        ScriptedServer.Script script =
+                (request, identifier, connection) -> {
+                    AtomicLong sent = new AtomicLong();
+                    sentBytes.add(sent);
+                    sendEvents(connection, sent, ended);
+                };
+        serve(route(Repetition.RESUMABLE_STREAM, SLOW_CALLER_MILLISECONDS), script, script);
+
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(1 << 16);
+            caller.connect(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), mGateway.port()));
+            write(caller, REQUEST);
+            await(ended);
+        }
+
+        assertThat(sentBytes.getLast().get()).isLessThan(SOCKET_BUFFERS_BYTES);
+    }
+
+    private static void sendEvents(Socket connection, AtomicLong sent, CountDownLatch ended)
+            throws IOException {
+        String event = "data: " + "x".repeat(8_000) + "\n\n";
+        String chunk = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+        try {
+            write(connection, OK + "x-request: r1\r\n" + CHUNKED);
+            while (true) {
+                write(connection, chunk);
+                sent.addAndGet(chunk.length());
+            }
+        } finally {
+            ended.countDown();
+        }
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             assertThat(latch.await(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
@@ -262,11 +311,7 @@
     private String call() throws IOException {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), mGateway.port())) {
             caller.setSoTimeout(READ_TIMEOUT_SECONDS * 1_000);
-            write(
-                    caller,
-                    "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\n"
-                            + "Authorization: Bearer key\r\nConnection: close\r\n"
-                            + "Content-Length: 0\r\n\r\n");
+            write(caller, REQUEST);
             return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
