--- a/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EndlessAnswersTest.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The gateway before servers whose bytes never end until their connection is closed. */
 class EndlessAnswersTest {
@@ -78,6 +79,27 @@
         mServers.forEach(ScriptedServer::close);
     }
 
+    /** What a server may repeat without end behind the first event of a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1;x=", "4\r\nbody\r\n", "0\r\nx-one: 1\r\nx-two: 2\r\n", "no chunk "})
+    void aBegunStreamWithAnEndlessRestBreaksOffVisibly(String repeated) throws Exception {
+        serve(
+                Repetition.STREAM,
+                (request, identifier, connection) -> {
+                    write(connection, OK + "x-request: r1\r\n" + CHUNKED);
+                    write(connection, "9\r\ndata: a\n\n\r\n");
+                    while (true) {
+                        write(connection, repeated);
+                    }
+                });
+
+        String answer = call();
+
+        assertThat(answer).contains("data: a");
+        assertThat(answer).doesNotContain("0\r\n\r\n");
+        assertThat(mServers.getFirst().callerLeft(READ_TIMEOUT_SECONDS)).isTrue();
+    }
+
     /** What comes before the endless part, and what is repeated without end. */
     enum Endless {
         BLANK_LINES("", "\r\n"),
