Let the soak ask for more events of runs that may move

Half of the events come from runs at engines that are about to load, and pauses of engines end as long as no engine with runs has been silent for long.

--- a/gateway/src/test/java/org/ibisstand/gateway/EngineScenario.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineScenario.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,9 +44,8 @@
     private static final Duration PAUSE = Duration.ofMillis(101);
 
     /** Below the time after which an engine that says nothing is taken for silent. */
-    private static final Duration LONGEST = Duration.ofMillis(2_400);
+    private static final Duration LONGEST_SILENCE = Duration.ofMillis(2_400);
 
-    private static final Instant START = Instant.ofEpochSecond(1_000);
     private static final int CAPACITY_TOKENS = 100_000;
 
     /** Requests go elsewhere while any engine is less busy. */
@@ -56,9 +56,10 @@
     private final VersionedFleet mFleet = new VersionedFleet();
     private final List<VersionedEngine> mEngines = new ArrayList<>();
     private final Map<String, EngineNotice> mTold = new ConcurrentHashMap<>();
+    private final Map<VersionedEngine, Instant> mHeardAt = new HashMap<>();
     private final Map<String, StreamCaller> mCallers = new TreeMap<>();
     private final Set<String> mMovesAsked = ConcurrentHashMap.newKeySet();
-    private final ManualClock mClock = ManualClock.at(START);
+    private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(1_000));
     private final GatewayDaemon mGateway;
     private final boolean mAnnounced;
     private final long mFirstVersion;
@@ -76,6 +77,7 @@
         for (int index = 0; index < engines; index++) {
             VersionedEngine engine = new VersionedEngine(mFleet, version);
             mEngines.add(engine);
+            mHeardAt.put(engine, mClock.instant());
             mTold.put(
                     engine.address(),
                     EngineNotice.newBuilder()
@@ -160,7 +162,12 @@
 
     /** Lets the pauses of engines end, as long as none of them would be taken for silent. */
     void passTime() {
-        if (mClock.instant().plus(PAUSE).isBefore(START.plus(LONGEST))) {
+        Instant next = mClock.instant().plus(PAUSE);
+        mEngines.stream()
+                .filter(VersionedEngine::isIdle)
+                .forEach(engine -> mHeardAt.put(engine, mClock.instant()));
+        if (mEngines.stream()
+                .allMatch(engine -> next.isBefore(mHeardAt.get(engine).plus(LONGEST_SILENCE)))) {
             mClock.advance(PAUSE);
             notice();
         }
@@ -211,7 +218,9 @@
     void event(String request) {
         RunLog log = mFleet.log(request);
         int from = log.size();
-        boolean isLast = mFleet.engineOf(request).get().makeEvent(request);
+        VersionedEngine engine = mFleet.engineOf(request).get();
+        mHeardAt.put(engine, mClock.instant());
+        boolean isLast = engine.makeEvent(request);
         if (isLast) {
             log.await(from, Set.of(ENDED, BROKEN));
             return;
--- a/gateway/src/test/java/org/ibisstand/gateway/StaleMemorySteps.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/StaleMemorySteps.java
@@ -251,7 +251,7 @@
         }
     }
 
-    /** Returns a request that runs where events are made now. */
+    /** Returns a request that runs where events are made now, often one that may be moved. */
     private Optional<String> running() {
         List<String> running =
                 mScenario.open().stream()
@@ -263,9 +263,17 @@
                                                 .filter(engine -> !engine.isLoading())
                                                 .isPresent())
                         .toList();
-        return running.isEmpty()
+        List<String> leaving =
+                running.stream()
+                        .filter(
+                                request ->
+                                        mLoads.get(mScenario.fleet().engineOf(request).get())
+                                                == Load.PREPARED)
+                        .toList();
+        List<String> drawn = leaving.isEmpty() || mRandom.nextBoolean() ? running : leaving;
+        return drawn.isEmpty()
                 ? Optional.empty()
-                : Optional.of(running.get(mRandom.nextInt(running.size())));
+                : Optional.of(drawn.get(mRandom.nextInt(drawn.size())));
     }
 
     /** Returns another engine of the same weights, if there is one. */
--- a/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
@@ -161,6 +161,14 @@
         }
     }
 
+    /** Returns whether no request runs here or waits for a refusal. */
+    boolean isIdle() {
+        synchronized (mFleet) {
+            return mHeld.isEmpty()
+                    && mFleet.runs().values().stream().noneMatch(run -> run.mEngine == this);
+        }
+    }
+
     boolean hasWaiting() {
         synchronized (mFleet) {
             return waiting().isPresent();
