Learn an engine's weights from the event that tells of them

A stream said that its engine has other weights now, and the gateway went on to believe the older ones of it until a notice came.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -134,16 +134,7 @@
         }
         start();
         if (mRelay.isPresent()) {
-            if (!mRelay.get().data(data)) {
-                mForwarding.attemptFailed(this, "overlong_event", true);
-                return;
-            }
-            if (!mRelay.get().takesMore()) {
-                setReading(false);
-            }
-            if (mServer.losesRuns(mGateway.now())) {
-                mForwarding.run().move(this);
-            }
+            relay(mRelay.get(), data);
         } else if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
             mForwarding.attemptFailed(this, "overlong_answer", true);
         } else {
@@ -214,6 +205,20 @@
         mForwarding.answered(this, head, mBody.retainedDuplicate());
     }
 
+    private void relay(StreamRelay relay, ByteBuf data) {
+        if (!relay.data(data)) {
+            mForwarding.attemptFailed(this, "overlong_event", true);
+            return;
+        }
+        if (!relay.takesMore()) {
+            setReading(false);
+        }
+        relay.changedWeights().ifPresent(text -> mForwarding.learnWeights(mServer, text));
+        if (mServer.losesRuns(mGateway.now())) {
+            mForwarding.run().move(this);
+        }
+    }
+
     private void hold(ByteBuf data) {
         int heldBefore = heldBytes();
         mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
