Price each engine once when a prompt is placed

A placement worked out the shape of the prompt, the predicted time and the hash of a home anew at each comparison of a sort, and hashed whole records.

--- a/gateway/src/main/java/org/ibisstand/gateway/EngineCost.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EngineCost.java
@@ -1,5 +1,6 @@
 package org.ibisstand.gateway;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
@@ -86,11 +87,29 @@
 
     /** Returns the engines in the order in which they are the home of a shared part. */
     static List<Engine> homes(String sharedKey, List<Engine> engines) {
-        return engines.stream()
-                .sorted(
-                        Comparator.<Engine>comparingLong(one -> rank(sharedKey, one.name()))
-                                .reversed())
-                .toList();
+        List<Home> homes = new ArrayList<>(engines.size());
+        for (Engine engine : engines) {
+            homes.add(new Home(engine, rank(sharedKey, engine.name())));
+        }
+        homes.sort(Comparator.comparingLong(Home::rank).reversed());
+        return homes.stream().map(Home::engine).toList();
+    }
+
+    /**
+     * Returns the engines with the least predicted time, the least first.
+     *
+     * @param engines to choose from
+     * @param shape of the prompt
+     * @param transfer how missing parts could be fetched
+     * @param count how many to return at most
+     */
+    static List<Engine> cheapest(List<Engine> engines, Shape shape, Transfer transfer, int count) {
+        List<Priced> priced = new ArrayList<>(engines.size());
+        for (Engine engine : engines) {
+            priced.add(new Priced(engine, milliseconds(engine, shape, transfer)));
+        }
+        priced.sort(Comparator.comparingDouble(Priced::milliseconds));
+        return priced.stream().limit(count).map(Priced::engine).toList();
     }
 
     /**
@@ -119,14 +138,24 @@
         return time * engine.pacePercent() / 100 + engine.penaltyMilliseconds();
     }
 
+    /** An engine and how much it is the home of a part. */
+    private record Home(Engine engine, long rank) {}
+
+    /** An engine and the predicted time there. */
+    private record Priced(Engine engine, double milliseconds) {}
+
     private static long rank(String key, String name) {
-        long hash = 0xcbf29ce484222325L;
-        String text = key + '\n' + name;
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
-        }
+        long hash = mix(mix(mix(0xcbf29ce484222325L, key), "\n"), name);
         hash ^= hash >>> 32;
         hash *= 0x9e3779b97f4a7c15L;
         return hash ^ (hash >>> 29);
     }
+
+    private static long mix(long start, String text) {
+        long hash = start;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
+        }
+        return hash;
+    }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/Prompt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Prompt.java
@@ -26,7 +26,7 @@
 
     /** Returns how many tokens other requests may share: all parts but the last. */
     int sharedTokens() {
-        return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(Part::tokens).sum();
+        return tokensOf(parts.size());
     }
 
     /** Returns what requests that share all of the shared parts have in common. */
@@ -41,9 +41,10 @@
 
     /** Returns the length of the first shared parts. */
     int tokensOf(int heldParts) {
-        return parts.stream()
-                .limit(Math.min(heldParts, Math.max(0, parts.size() - 1)))
-                .mapToInt(Part::tokens)
-                .sum();
+        int tokens = 0;
+        for (int index = 0; index < Math.min(heldParts, parts.size() - 1); index++) {
+            tokens += parts.get(index).tokens();
+        }
+        return tokens;
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -2,9 +2,9 @@
 
 import java.time.Clock;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -176,20 +176,15 @@
     private Map<String, String> asked(Task task, List<BackendServer> servers) {
         List<EngineCost.Engine> engines = views(task, servers, Map.of());
         EngineCost.Transfer none = new EngineCost.Transfer(0, 1, "");
-        Map<EngineCost.Engine, BackendServer> byView = new HashMap<>();
+        Map<EngineCost.Engine, BackendServer> byView = new IdentityHashMap<>();
         for (int index = 0; index < servers.size(); index++) {
             byView.put(engines.get(index), servers.get(index));
         }
-        Set<EngineCost.Engine> chosen = new LinkedHashSet<>();
+        Set<EngineCost.Engine> chosen = Collections.newSetFromMap(new IdentityHashMap<>());
         EngineCost.homes(task.prompt().sharedKey(), engines).stream()
                 .limit(ASKED_HOMES)
                 .forEach(chosen::add);
-        engines.stream()
-                .sorted(
-                        Comparator.comparingDouble(
-                                one -> EngineCost.milliseconds(one, shape(task), none)))
-                .limit(ASKED_CHEAPEST)
-                .forEach(chosen::add);
+        chosen.addAll(EngineCost.cheapest(engines, shape(task), none, ASKED_CHEAPEST));
         Map<String, String> salts = new HashMap<>();
         long now = mClock.millis();
         for (EngineCost.Engine engine : chosen) {
@@ -210,10 +205,11 @@
         long now = mClock.millis();
         List<EngineCost.Engine> engines = views(task, servers, answers);
         EngineCost.Transfer transfer = transfer(task, engines);
+        EngineCost.Shape shape = shape(task);
         List<ServerChoice.Candidate> candidates = new ArrayList<>();
         for (int index = 0; index < servers.size(); index++) {
             BackendServer server = servers.get(index);
-            double cost = EngineCost.milliseconds(engines.get(index), shape(task), transfer);
+            double cost = EngineCost.milliseconds(engines.get(index), shape, transfer);
             candidates.add(
                     new ServerChoice.Candidate(
                             index,
