Decide on the event loop in agents that keep weights

Each question about parts, notice and answer of the engine was handed to a thread of its own and back, and woke both. The one event loop of the agent takes the decisions now, still one thread.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
@@ -1,12 +1,12 @@
 package org.ibisstand.agent;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.Collection;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.LogLine;
@@ -25,7 +25,7 @@
     /** Between looks at the engine, which answers its own VM at once. */
     private static final long TICK_MILLISECONDS = 100;
 
-    private final ScheduledExecutorService mControlThread;
+    private final Future<?> mTicks;
     private final FleetFollower mFollower;
     private final WireServer mServer;
     private final String mProcess;
@@ -38,12 +38,13 @@
             Clock clock,
             Address listen) {
         mProcess = process;
-        mControlThread =
-                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+        // What comes from entries, control and the engine is decided where it arrives: a thread of
+        // its own would be woken twice for each question.
+        EventLoop controlThread = group.next();
         WeightsKeeper keeper =
                 new WeightsKeeper(
-                        office, engine, clock, mControlThread, listen.toString(), this::tell);
-        PartFollower parts = new PartFollower(office, clock, mControlThread);
+                        office, engine, clock, controlThread, listen.toString(), this::tell);
+        PartFollower parts = new PartFollower(office, clock, controlThread);
         WireContext wire =
                 new WireContext(
                         group,
@@ -56,13 +57,14 @@
                 WireServer.start(
                         wire,
                         new InetSocketAddress(listen.host(), listen.port()),
-                        new PartAnswers(parts, keeper, mControlThread));
-        mFollower = new FleetFollower(wire, mControlThread, false, keeper::update, keeper::noticed);
-        mControlThread.scheduleWithFixedDelay(
-                () -> tick(keeper, parts),
-                TICK_MILLISECONDS,
-                TICK_MILLISECONDS,
-                TimeUnit.MILLISECONDS);
+                        new PartAnswers(parts, keeper, controlThread));
+        mFollower = new FleetFollower(wire, controlThread, false, keeper::update, keeper::noticed);
+        mTicks =
+                controlThread.scheduleWithFixedDelay(
+                        () -> tick(keeper, parts),
+                        TICK_MILLISECONDS,
+                        TICK_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -99,7 +101,7 @@
     public void close() {
         mServer.close();
         mFollower.close();
-        mControlThread.shutdown();
+        mTicks.cancel(false);
         LogLine.info("agent_stopped").with("process", mProcess).write();
     }
 
