Close a connection only for the request that it carries

A request that had ended could still be cancelled, and closed the connection that it had used. By then the connection may carry the request of another caller, which was told nothing and waited for its time limit.

Change: cancelling, pausing and resuming reach the connection only while it carries that very request.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -83,6 +83,11 @@
         mChannel.writeAndFlush(request).addListener(written -> mWritten = written.isSuccess());
     }
 
+    /** Returns whether the connection carries this request, and not a later one or none. */
+    boolean carries(ExchangeListener exchange) {
+        return mExchange.filter(one -> one == exchange).isPresent();
+    }
+
     /** Pauses or resumes reading, for a caller that reads slowly. */
     void setReading(boolean reading) {
         mChannel.config().setAutoRead(reading);
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendExchanges.java
@@ -132,23 +132,26 @@
 
         /** Ends the request by closing its connection; the listener hears nothing more. */
         void cancel() {
-            mConnection.ifPresentOrElse(
-                    BackendConnection::close,
-                    () -> {
-                        if (!mCancelled) {
-                            mRequest.release();
-                        }
-                    });
+            if (mConnection.isPresent()) {
+                carrier().ifPresent(BackendConnection::close);
+            } else if (!mCancelled) {
+                mRequest.release();
+            }
             mCancelled = true;
         }
 
+        /** Returns the connection, unless the request has ended there: it may carry another. */
+        private Optional<BackendConnection> carrier() {
+            return mConnection.filter(connection -> connection.carries(mListener));
+        }
+
         /** Returns whether the request was handed to a connection. */
         boolean isSent() {
             return mConnection.isPresent();
         }
 
         void setReading(boolean reading) {
-            mConnection.ifPresent(connection -> connection.setReading(reading));
+            carrier().ifPresent(connection -> connection.setReading(reading));
         }
 
         private void start(BackendConnection connection) {
