Answer 502 for a run that stopped before its first event

A run was asked to move as soon as bytes of its stream came, also before a whole event. If no engine went on with it, the caller got 503, which promises that the request has not run, and sends it again.

Evidence: EngineGatewayTest.aRunThatStoppedBeforeItsFirstEventWasAnswered- AsNotRun got 503 before.

Change: a run that an engine stopped has run.

--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -275,6 +275,12 @@
         }
     }
 
+    /** An engine stopped the run of the request: it has run, whatever becomes of it now. */
+    void runStopped(Attempt attempt) {
+        mMayHaveRun = true;
+        endAttempt(attempt);
+    }
+
     /** Returns whether a failure that a server answered is tried elsewhere. */
     boolean repeatsFailure(Attempt attempt, int status) {
         boolean isPlain = route().repetition() == Route.Repetition.IDEMPOTENT;
--- a/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
@@ -88,7 +88,7 @@
         mRefusedMoves = 0;
         mMove = Optional.empty();
         attempt.cancel();
-        mForwarding.endAttempt(attempt);
+        mForwarding.runStopped(attempt);
         mLog.moved(attempt, target, stopped.isCopied());
         mGateway.metrics().counted("runs_moved");
         if (!isOfOneVersion(attempt)) {
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -160,6 +160,29 @@
         }
     }
 
+    /** A refusal (503) promises that the request has not run. */
+    @Test
+    void aRunThatStoppedBeforeItsFirstEventWasAnsweredAsNotRun() throws Exception {
+        ScriptedServer.Script moving = new MovingEngine(Handover.LOST);
+        ScriptedServer.Script stopping =
+                (request, identifier, connection) -> {
+                    boolean isFirst =
+                            request.startsWith("POST /p/")
+                                    && header(request, "x-run-source").isEmpty();
+                    if (isFirst) {
+                        await(mNoticed);
+                        write(connection, HEAD + chunk("id: 1\nda"));
+                        await(mMoveAsked);
+                        connection.close();
+                    } else {
+                        moving.answer(request, identifier, connection);
+                    }
+                };
+        serve(Repetition.STREAM, stopping, stopping);
+
+        assertThat(streamWhileTheEngineIsToLoad()).startsWith("HTTP/1.1 502");
+    }
+
     @Test
     void aRunStaysWhereNoOtherEngineHasItsWeights() throws Exception {
         serve(Repetition.STREAM, new MovingEngine(Handover.COPIED));
