Go on with a stopped run only once all its events came

A run that stopped went on 60 ms after the answer to its move, though its stream had not ended yet. An event that tells of other weights may be among those that were missing: of a caller that reads slowly all that its connection holds. Its memory was then taken for that of one version.

Found by reading, in a review; no run shows it. The stand-in engines close a stream before they answer the move, so no test of ours could.

Change: the stream has to end first, for which there are 300 ms; a run without its last events starts anew or breaks off, and runs_lost counts it. Runs of callers that read slowly are not moved.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -210,11 +210,10 @@
             mForwarding.attemptFailed(this, "overlong_event", true);
             return;
         }
+        relay.changedWeights().ifPresent(text -> mForwarding.learnWeights(mServer, text));
         if (!relay.takesMore()) {
             setReading(false);
-        }
-        relay.changedWeights().ifPresent(text -> mForwarding.learnWeights(mServer, text));
-        if (mServer.losesRuns(mGateway.now())) {
+        } else if (mServer.losesRuns(mGateway.now())) {
             mForwarding.run().move(this);
         }
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
@@ -95,12 +95,13 @@
     }
 
     /** Notes that a run stopped, and which weights its memory and both engines have. */
-    void moved(Attempt attempt, BackendServer target, boolean isCopied) {
+    void stopped(Attempt attempt, BackendServer target, boolean isCopied, boolean isWhole) {
         LogLine line =
                 line("run_moved")
                         .with("server", attempt.server().name())
                         .with("to", isCopied ? target.name() : "")
-                        .with("made_under", attempt.scope().weights());
+                        .with("made_under", attempt.scope().weights())
+                        .with("whole", isWhole);
         attempt.changedWeights().ifPresent(version -> line.with("changed_to", version));
         attempt.model()
                 .ifPresent(
--- a/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunContinuation.java
@@ -63,7 +63,7 @@
                 || cameBack) {
             return;
         }
-        boolean isMovable = mForwarding.admitted().isMovable() && isOfOneVersion(attempt);
+        boolean isMovable = mForwarding.admitted().isMovable() && isMemoryOfScope(attempt);
         Optional<Placement.Place> refuge =
                 isMovable
                         ? mGateway.promptPlacement()
@@ -82,29 +82,36 @@
         move.start(mForwarding.request().identifier());
     }
 
-    /** The run stopped: it goes on from its memory, without being read again. */
-    void moved(Attempt attempt, BackendServer target, RunMoves.StoppedRun stopped) {
+    /**
+     * The run stopped: it goes on from its memory, without being read again.
+     *
+     * @param isWhole whether all events came that were made before the stop; one that is missing
+     *     may tell of other weights
+     */
+    void moved(
+            Attempt attempt, BackendServer target, RunMoves.StoppedRun stopped, boolean isWhole) {
         BackendServer from = attempt.server();
         mRefusedMoves = 0;
         mMove = Optional.empty();
         attempt.cancel();
         mForwarding.runStopped(attempt);
-        mLog.moved(attempt, target, stopped.isCopied());
-        mGateway.metrics().counted("runs_moved");
-        if (!isOfOneVersion(attempt)) {
+        mLog.stopped(attempt, target, stopped.isCopied(), isWhole);
+        if (!isWhole || !isMemoryOfScope(attempt)) {
+            mGateway.metrics().counted("runs_lost");
             startAnewOrGiveUp("memory_of_other_weights");
             return;
         }
+        mGateway.metrics().counted("runs_moved");
         String source = from.address() + "/" + stopped.handle();
         mContinuation = Optional.of(new Continuation(source, from, attempt.scope()));
         mForwarding.sendTo(place(stopped.isCopied() ? target : from));
     }
 
     /**
-     * Returns whether the memory of a run was made under the weights that its request named, and no
-     * others: its engine may have loaded newer ones since, and let the run go on.
+     * Returns whether the memory of a run is known to be made under the weights that its request
+     * named, and no others: its engine may have loaded newer ones since, and let the run go on.
      */
-    private static boolean isOfOneVersion(Attempt attempt) {
+    private static boolean isMemoryOfScope(Attempt attempt) {
         long observed = attempt.server().observedWeights(attempt.model().orElseThrow());
         return attempt.scope().isShared()
                 && attempt.scope().weights() == observed
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
@@ -25,8 +25,11 @@
     /** Twenty round trips between availability zones, and the copies queued on two links. */
     private static final long PATIENCE_MILLISECONDS = 600;
 
-    /** The answer and the last bytes of the stream travel on two connections. */
-    private static final long CLOSE_MILLISECONDS = 60;
+    /**
+     * The answer and the last bytes of the stream travel on two connections; below the pause of 400
+     * ms that the platforms' sheets allow between events.
+     */
+    private static final long CLOSE_MILLISECONDS = 300;
 
     /** The answer holds the name of a run's memory, which is far shorter. */
     private static final int MAXIMUM_ANSWER_BYTES = 1 << 14;
@@ -139,7 +142,7 @@
     private void goOn(RunMoves.StoppedRun stopped) {
         if (!mDone) {
             cancel();
-            mRun.moved(mAttempt, mTarget, stopped);
+            mRun.moved(mAttempt, mTarget, stopped, mStreamEnd.isPresent());
         }
     }
 
