Never believe older weights of an engine than it was seen to have

What records and notices told of an engine's weights was looked up in the last of each: a late notice, or one without weights, lowered it, and a run could be taken for one of the older weights again.

BackendServerTest.aLateNoticeOfOlderWeightsIsNotBelieved got 2 before (by reading of the former code; the test came with the change). With it: parts are of the newest weights only if no engine was seen with newer ones; a refusal that names its weights needs no guess; and a run may go to an engine that no agent speaks of where there is no other, which refuses it at worst, since the request names its weights.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -62,6 +62,12 @@
         return mPrompt.map(Prompt::model);
     }
 
+    /** Returns whether the answer says which weights the server has. */
+    boolean namesWeights() {
+        return mHead.filter(head -> head.headers().contains(mGateway.names().weights()))
+                .isPresent();
+    }
+
     /** Returns the weights that the engine changed to while it made the stream. */
     Optional<String> changedWeights() {
         return mRelay.flatMap(StreamRelay::changedWeights);
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
@@ -49,7 +48,7 @@
     private Optional<ServerLoad> mLoad = Optional.empty();
     private int mSentSinceLoad;
     private final Set<Attempt> mAttempts = new LinkedHashSet<>();
-    private final Map<String, Long> mLearnedWeights = new HashMap<>();
+    private final Map<String, Long> mObservedWeights = new HashMap<>();
     private final Map<String, Long> mSuspectedWeights = new HashMap<>();
     private Optional<EngineNotice> mNotice = Optional.empty();
     private long mNoticeAt;
@@ -60,6 +59,7 @@
     BackendServer(ServerRecord record) {
         mRecord = record;
         mAddress = Address.parse(record.getAddress());
+        observed(record.getWeightsMap(), "record");
     }
 
     String name() {
@@ -75,9 +75,8 @@
     }
 
     void renew(ServerRecord record, long now) {
-        Map<String, Long> known = weightsOf(record.getWeightsMap().keySet());
         mRecord = record;
-        logChanges(known, "record");
+        observed(record.getWeightsMap(), "record");
         if (record.getState() == ServerRecord.State.READY) {
             mLeavingSince = Long.MAX_VALUE;
         } else {
@@ -138,10 +137,8 @@
 
     /** Takes what the agent beside the engine says of it. */
     void noticed(EngineNotice notice, long now) {
-        Map<String, Long> known = weightsOf(notice.getWeightsMap().keySet());
         mNotice = Optional.of(notice);
-        mSuspectedWeights.clear();
-        logChanges(known, "notice");
+        observed(notice.getWeightsMap(), "notice");
         mNoticeAt = now;
     }
 
@@ -174,39 +171,41 @@
         return now - mNoticeAt;
     }
 
-    /** Notes that an answer told of weights that no record tells of yet. */
+    /** Notes the weights that an answer told of. */
     void learnedWeights(String model, long version) {
-        Map<String, Long> known = weightsOf(Set.of(model));
-        mLearnedWeights.merge(model, version, Math::max);
-        mSuspectedWeights.remove(model);
-        logChanges(known, "answer");
+        observed(Map.of(model, version), "answer");
+    }
+
+    /** One incarnation never goes back to older weights, whatever a late message says. */
+    private void observed(Map<String, Long> weights, String source) {
+        weights.forEach(
+                (model, version) -> {
+                    mSuspectedWeights.remove(model);
+                    long before = observedWeights(model);
+                    if (version > before) {
+                        mObservedWeights.put(model, version);
+                        logWeights(model, before, version, source);
+                    }
+                });
     }
 
     /** Guesses what the server has, as it refused other weights, until it or its agent tells. */
     void suspectedWeights(String model, long version) {
-        Map<String, Long> known = weightsOf(Set.of(model));
+        long before = weights(model);
         mSuspectedWeights.merge(model, version, Math::max);
-        logChanges(known, "refusal");
-    }
-
-    private Map<String, Long> weightsOf(Set<String> models) {
-        return models.stream().collect(Collectors.toMap(model -> model, this::weights));
-    }
-
-    private void logChanges(Map<String, Long> known, String source) {
-        known.forEach(
-                (model, before) -> {
-                    long now = weights(model);
-                    if (now != before) {
-                        LogLine.info("engine_weights")
-                                .with("server", name())
-                                .with("model", model)
-                                .with("before", before)
-                                .with("version", now)
-                                .with("source", source)
-                                .write();
-                    }
-                });
+        logWeights(model, before, weights(model), "refusal");
+    }
+
+    private void logWeights(String model, long before, long version, String source) {
+        if (before != version) {
+            LogLine.info("engine_weights")
+                    .with("server", name())
+                    .with("model", model)
+                    .with("before", before)
+                    .with("version", version)
+                    .with("source", source)
+                    .write();
+        }
     }
 
     /**
@@ -219,10 +218,7 @@
 
     /** Returns the newest version of a model's weights that the server was seen to have. */
     long observedWeights(String model) {
-        long announced = mRecord.getWeightsOrDefault(model, 0);
-        long told = mNotice.map(notice -> notice.getWeightsOrDefault(model, 0)).orElse(0L);
-        long learned = mLearnedWeights.getOrDefault(model, 0L);
-        return Math.max(learned, Math.max(announced, told));
+        return mObservedWeights.getOrDefault(model, 0L);
     }
 
     void heard(long now) {
--- a/gateway/src/main/java/org/ibisstand/gateway/CacheScope.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CacheScope.java
@@ -19,10 +19,10 @@
      *
      * @param team separates the cached prompts of isolated teams
      * @param weights the version that the engine is believed to have; zero if that is not known
-     * @param request differs for each request, which shares nothing while the weights are unknown
+     * @param nonce differs for each request, which shares nothing while the weights are unknown
      */
-    static CacheScope of(String team, long weights, String request) {
-        String suffix = weights == UNKNOWN ? "unknown-" + request : Long.toString(weights);
+    static CacheScope of(String team, long weights, String nonce) {
+        String suffix = weights == UNKNOWN ? "unknown-" + nonce : Long.toString(weights);
         return new CacheScope(team + "-" + suffix, weights);
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Forwarding.java
@@ -242,7 +242,7 @@
         mNotRun++;
         mSent--;
         attempt.server().refused(mGateway.now());
-        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code() && !attempt.namesWeights()) {
             admitted().prompt().ifPresent(prompt -> suspectWeights(attempt.server(), prompt));
         }
         mLog.server("not_run", attempt.server(), "status", status);
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -71,7 +71,7 @@
      * @param service the service that the request goes to
      * @param prompt of the request
      * @param team separates the cached prompts of isolated teams
-     * @param request differs for each request
+     * @param nonce differs for each request
      * @param store keeps prompts that engines have no room for
      * @param tried servers that are not asked again
      */
@@ -79,7 +79,7 @@
             RoutedService service,
             Prompt prompt,
             String team,
-            String request,
+            String nonce,
             Optional<CacheStore> store,
             Set<BackendServer> tried) {
         boolean moves() {
@@ -88,7 +88,7 @@
 
         /** Prompts that were read with other weights are never found. */
         CacheScope scope(BackendServer server) {
-            return CacheScope.of(team, server.weights(prompt.model()), request);
+            return CacheScope.of(team, server.weights(prompt.model()), nonce);
         }
     }
 
@@ -117,12 +117,16 @@
         Prompt prompt = task.prompt();
         long needed = (long) prompt.promptTokens() + prompt.outputTokens();
         long capacity = task.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
-        List<BackendServer> engines =
+        List<BackendServer> able =
                 mDirectory.ready(task.service(), task.tried()).stream()
-                        .filter(one -> one != from && canGoOn(one, from, prompt, scope))
-                        .filter(one -> !one.isPaused(now))
+                        .filter(one -> one != from && !one.isLoading(now) && !one.isPaused(now))
+                        .filter(one -> one.observedWeights(prompt.model()) == scope.weights())
                         .filter(one -> usedTokens(one, now) + needed <= capacity)
                         .toList();
+        // One that no agent speaks of may be loading, and refuse the run in the end.
+        List<BackendServer> steady =
+                able.stream().filter(one -> one.notice(now).isPresent()).toList();
+        List<BackendServer> engines = steady.isEmpty() ? able : steady;
         List<ServerChoice.Candidate> candidates = new ArrayList<>();
         for (int index = 0; index < engines.size(); index++) {
             BackendServer engine = engines.get(index);
@@ -138,16 +142,6 @@
                         });
     }
 
-    /** Where agents tell of engines, one that nothing is known of yet may be loading weights. */
-    private boolean canGoOn(
-            BackendServer engine, BackendServer from, Prompt prompt, CacheScope scope) {
-        long now = mClock.millis();
-        return engine.isSteady(prompt.model(), scope.weights(), now)
-                || (from.notice(now).isEmpty()
-                        && engine.notice(now).isEmpty()
-                        && engine.observedWeights(prompt.model()) == scope.weights());
-    }
-
     private static long usedTokens(BackendServer engine, long now) {
         return engine.notice(now).map(EngineNotice::getUsedTokens).orElse(0L);
     }
@@ -233,7 +227,7 @@
             ServerChoice.Candidate chosen) {
         BackendServer server = servers.get(chosen.server());
         CacheScope scope = task.scope(server);
-        boolean moves = task.moves() && scope.isShared() && isNewest(task, scope);
+        boolean moves = task.moves() && scope.isShared() && isNewest(task, servers, scope);
         Optional<String> kept =
                 task.store().filter(store -> moves).map(store -> store.address().toString());
         boolean lacks = engines.get(chosen.server()).heldTokens() < task.prompt().sharedTokens();
@@ -249,8 +243,10 @@
      * A run that goes on under newer weights, and is preempted, reads its parts again and caches
      * them under the salt of its older ones. So parts of older weights stay where they were made.
      */
-    private boolean isNewest(Task task, CacheScope scope) {
-        return scope.weights() >= mWeights.newest(task.prompt().model());
+    private boolean isNewest(Task task, List<BackendServer> servers, CacheScope scope) {
+        String model = task.prompt().model();
+        return scope.weights() >= mWeights.newest(model)
+                && servers.stream().allMatch(one -> one.observedWeights(model) <= scope.weights());
     }
 
     /** The link of the store is shared by all engines: what it has is not sent again. */
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
@@ -49,6 +49,14 @@
         assertThat(mServer.weights("m")).isEqualTo(3);
     }
 
+    @Test
+    void aLateNoticeOfOlderWeightsIsNotBelieved() {
+        mServer.noticed(EngineNotice.newBuilder().putWeights("m", 3).build(), 0);
+        mServer.noticed(EngineNotice.newBuilder().putWeights("m", 2).build(), 1);
+
+        assertThat(mServer.observedWeights("m")).isEqualTo(3);
+    }
+
     @Test
     void anEngineThatItsAgentCannotReachIsPassedOver() {
         mServer.noticed(EngineNotice.newBuilder().setUnreachable(true).build(), 0);
