--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
-import org.ibisstand.settings.Address;
 import org.ibisstand.settings.Route.Repetition;
 import org.ibisstand.settings.RoutedService;
 import org.ibisstand.settings.RoutingConfiguration;
@@ -54,15 +53,7 @@
     private final CountDownLatch mMoveAsked = new CountDownLatch(1);
     private final GatewayDaemon mGateway =
             GatewayDaemon.start(
-                    new GatewaySettings(
-                            "gateway",
-                            "zone",
-                            new Address("127.0.0.1", 0),
-                            List.of(),
-                            1.0,
-                            1_000,
-                            10_000,
-                            1_500),
+                    Samples.SETTINGS,
                     Samples.NAMES,
                     headers ->
                             Optional.of(
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineScenario.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineScenario.java
@@ -87,15 +87,7 @@
         }
         mGateway =
                 GatewayDaemon.start(
-                        new GatewaySettings(
-                                "gateway",
-                                "zone",
-                                new Address("127.0.0.1", 0),
-                                List.of(),
-                                1.0,
-                                1_000,
-                                10_000,
-                                1_500),
+                        Samples.SETTINGS,
                         Samples.NAMES,
                         PromptHeader::read,
                         new NotedMoves(),
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.locks.LockSupport;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
-import org.ibisstand.settings.Address;
 import org.ibisstand.settings.Route;
 import org.ibisstand.settings.Route.Repetition;
 import org.ibisstand.wire.message.ServerRecord;
@@ -41,15 +40,7 @@
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway =
             GatewayDaemon.start(
-                    new GatewaySettings(
-                            "gateway",
-                            "zone",
-                            new Address("127.0.0.1", 0),
-                            List.of(),
-                            1.0,
-                            1_000,
-                            10_000,
-                            1_500),
+                    Samples.SETTINGS,
                     Samples.NAMES,
                     headers -> Optional.empty(),
                     Samples.RUN_MOVES,
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.ibisstand.settings.Address;
 import org.ibisstand.settings.Route;
 import org.ibisstand.settings.Route.Repetition;
 import org.ibisstand.settings.Route.WeightedService;
@@ -21,6 +22,19 @@
 final class Samples {
     static final String HOST = "h.example";
     static final String KEY = "key";
+
+    /** Of a gateway that listens on a port of the loopback and knows no member of control. */
+    static final GatewaySettings SETTINGS =
+            new GatewaySettings(
+                    "gateway",
+                    "zone",
+                    new Address("127.0.0.1", 0),
+                    List.of(),
+                    1.0,
+                    1_000,
+                    10_000,
+                    1_500);
+
     static final ForwardingHeaders NAMES =
             new ForwardingHeaders(
                     "x-request",
