--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -151,6 +151,18 @@
         }
     }
 
+    @Test
+    void aRunGoesToAnEngineThatNoAgentSpeaksOfWhereThereIsNoOther() throws Exception {
+        serve(
+                Repetition.STREAM,
+                new MovingEngine(Handover.COPIED),
+                new MovingEngine(Handover.COPIED));
+
+        String answer = streamWhileTheEngineIsToLoad(false);
+
+        assertThat(answer.replaceAll("\r\n[0-9a-f]+\r\n", "")).contains(WHOLE_STREAM);
+    }
+
     /** A refusal (503) promises that the request has not run. */
     @Test
     void aRunThatStoppedBeforeItsFirstEventWasAnsweredAsNotRun() throws Exception {
@@ -219,6 +231,10 @@
 
     /** Asks for a stream, and lets its engine be noticed as about to load after event 1. */
     private String streamWhileTheEngineIsToLoad() throws Exception {
+        return streamWhileTheEngineIsToLoad(true);
+    }
+
+    private String streamWhileTheEngineIsToLoad(boolean othersAreNoticed) throws Exception {
         weights(1, 1);
         try (Socket caller = connect()) {
             write(caller, request("key"));
@@ -232,7 +248,7 @@
                                 .orElse(null);
             }
             EngineNotices.Builder notices = EngineNotices.newBuilder();
-            for (ScriptedServer server : mServers) {
+            for (ScriptedServer server : othersAreNoticed ? mServers : List.of(first)) {
                 notices.addEngines(
                         EngineNotice.newBuilder()
                                 .setAddress(server.address())
