--- a/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
@@ -29,6 +29,7 @@
     private final FleetFollower mFollower;
     private final WireServer mServer;
     private final String mProcess;
+    private final String mHost;
 
     private WeightsDaemon(
             String process,
@@ -38,6 +39,7 @@
             Clock clock,
             Address listen) {
         mProcess = process;
+        mHost = listen.host();
         // Messages of entries, control and the engine are handled on the event loop thread that
         // receives them: a separate thread would add two wake-ups to each query.
         EventLoop controlThread = group.next();
@@ -47,7 +49,7 @@
                         engineAddress,
                         clock,
                         controlThread,
-                        listen.toString(),
+                        this::address,
                         this::publishNotice);
         PartIndexUpdater partUpdater = new PartIndexUpdater(managedEngine, clock, controlThread);
         WireContext wire =
@@ -86,7 +88,7 @@
      * @param managedEngine the engine on this VM
      * @param engineAddress host and port at which the engine accepts requests
      * @param clock a monotonic clock
-     * @param listen the address to listen on for queries of entries
+     * @param listen the address to listen on for queries of entries; port zero takes any free port
      * @param control wire addresses of some members of control, used as seeds
      */
     public static WeightsDaemon start(
@@ -107,6 +109,11 @@
         return daemon;
     }
 
+    /** Returns the address at which entries query this agent about its engine. */
+    public Address address() {
+        return new Address(mHost, mServer.port());
+    }
+
     /** Replaces the seed addresses through which the agent finds all members of control. */
     public void follow(Collection<String> control) {
         mFollower.follow(control);
--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -11,9 +11,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.fleet.NoticePace;
+import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
@@ -58,7 +60,7 @@
 
     private final ManagedEngine mEngine;
     private final String mEngineAddress;
-    private final String mAgentAddress;
+    private final Supplier<Address> mAgentAddress;
     private final Clock mClock;
     private final Executor mControlThread;
     private final Consumer<EngineNotice> mNoticeListener;
@@ -90,7 +92,7 @@
             String engineAddress,
             Clock clock,
             Executor controlThread,
-            String agentAddress,
+            Supplier<Address> agentAddress,
             Consumer<EngineNotice> noticeListener) {
         mAgentAddress = agentAddress;
         mEngine = engine;
@@ -153,7 +155,7 @@
             publishNotice(
                     EngineNotice.newBuilder()
                             .setAddress(mEngineAddress)
-                            .setAgent(mAgentAddress)
+                            .setAgent(mAgentAddress.get().toString())
                             .setUnreachable(true)
                             .build());
             return;
@@ -265,7 +267,7 @@
         publishNotice(
                 EngineNotice.newBuilder()
                         .setAddress(mEngineAddress)
-                        .setAgent(mAgentAddress)
+                        .setAgent(mAgentAddress.get().toString())
                         .setLoading(status.loading() || mDrainStartedAt.isPresent())
                         .putAllWeights(status.weights())
                         .setRunning(status.running())
--- a/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ibisstand.base.ManualClock;
 import org.ibisstand.fleet.FleetState;
+import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
@@ -25,7 +26,13 @@
     private final FakeEngine mEngine = new FakeEngine();
     private final List<EngineNotice> mNotices = new ArrayList<>();
     private final WeightsUpdater mUpdater =
-            new WeightsUpdater(mEngine, ADDRESS, mClock, Runnable::run, "agent", mNotices::add);
+            new WeightsUpdater(
+                    mEngine,
+                    ADDRESS,
+                    mClock,
+                    Runnable::run,
+                    () -> new Address("agent", 1),
+                    mNotices::add);
 
     @Test
     void announcesLoadingBeforeItSendsTheLoadOrder() {
