Keep a control member alive while its disk refuses writes

Cause: any failed disk operation made the log store unusable and ended the process, so that a full disk also ended the reads that need no disk, and the member's vote.

Change: a refused write (STORAGE_REFUSED) is repeated every 100 ms until there is room; writes behind it wait, and votes, acknowledgements of appends and a leader's own copy are held back as before until they are durable. A leader goes on while a majority of the others writes; otherwise it refuses changes and still confirms reads. A failed sync still ends the process: the system may have dropped the pages, and a second sync would succeed without them.

--- a/command/src/main/java/org/ibisstand/command/ExitCode.java
+++ b/command/src/main/java/org/ibisstand/command/ExitCode.java
@@ -26,7 +26,12 @@
     static ExitCode of(ErrorCode code) {
         return switch (code) {
             case USAGE -> USAGE;
-            case PORT_IN_USE, DATA_FOLDER_UNUSABLE, STORAGE_DAMAGED, STORAGE_FAILED -> ENVIRONMENT;
+            case PORT_IN_USE,
+                    DATA_FOLDER_UNUSABLE,
+                    STORAGE_DAMAGED,
+                    STORAGE_FAILED,
+                    STORAGE_REFUSED ->
+                    ENVIRONMENT;
             case SETTINGS_INVALID, CONFIGURATION_INVALID -> INVALID;
             case CONNECTION_LOST, NO_QUORUM, NOT_LEADER, AGENT_UNREACHABLE -> UNREACHABLE;
             default -> REFUSED;
--- a/control/src/main/java/org/ibisstand/control/Log.java
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -14,9 +14,10 @@
     /**
      * Appends a command; returns its result once a quorum has it on disk and it is applied.
      *
-     * <p>The future fails with an IbisstandException. With NOT_LEADER and NO_QUORUM the command was
-     * not applied and never will be. With OUTCOME_UNKNOWN it may still be applied, since the member
-     * stopped leading or lost its quorum after the append.
+     * <p>The future fails with an IbisstandException. With NOT_LEADER, NO_QUORUM and
+     * STORAGE_REFUSED the command was not applied and never will be. With OUTCOME_UNKNOWN it may
+     * still be applied, since the member stopped leading, lost its quorum or could not write after
+     * the append.
      *
      * @param command the encoded command for the state machine
      */
@@ -62,6 +63,11 @@
         return Optional.empty();
     }
 
+    /** Returns whether the disk of this member refuses writes at present. */
+    default boolean isStorageRefused() {
+        return false;
+    }
+
     /** Stops the log and fails all open futures. */
     @Override
     void close();
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -6,9 +6,11 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -43,8 +45,10 @@
  * The log of a control member, stored on its disk and replicated by consensus.
  *
  * <p>Connects the state machine of the consensus module to the control thread, a storage thread and
- * the connections to the other members. After a disk failure, or after a fault that may have left
- * its state inconsistent, it handles no requests until the process is restarted.
+ * the connections to the other members. While the disk refuses writes, it acknowledges nothing that
+ * is not written, and commits only what the other members have on disk. After a failed sync, or
+ * after a fault that may have left its state inconsistent, it handles no requests until the process
+ * is restarted.
  */
 public final class ReplicatedLog implements Log {
     private static final int SEGMENT_BYTES = 8 << 20;
@@ -62,6 +66,8 @@
     private final RequestBatcher mBatcher;
     private final ScheduledFuture<?> mTickTask;
     private Membership mMembership;
+    private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
+    private Set<CompletableFuture<byte[]>> mOpenAtLastRefusal = Set.of();
     private Optional<IbisstandException> mFailure = Optional.empty();
     private long mAppliedIndex;
     private long mBytesSinceSnapshot;
@@ -85,6 +91,7 @@
                 new StorageThread(
                         opened.store(),
                         sequence -> runOnControlThread(() -> step(new Input.Persisted(sequence))),
+                        refusal -> runOnControlThread(() -> failOverdueProposals(refusal)),
                         failure -> runOnControlThread(() -> fail(failure)));
         mConnections =
                 new MemberConnections(
@@ -125,9 +132,45 @@
 
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
-        return mFailure.isPresent()
-                ? CompletableFuture.failedFuture(mFailure.get())
-                : mBatcher.propose(command);
+        if (mFailure.isPresent()) {
+            return CompletableFuture.failedFuture(mFailure.get());
+        }
+        if (mStorage.isRefused() && !othersCommit()) {
+            return CompletableFuture.failedFuture(
+                    new IbisstandException(
+                            ErrorCode.STORAGE_REFUSED,
+                            "the disk of this member refuses writes; nothing was changed"));
+        }
+        CompletableFuture<byte[]> proposal = mBatcher.propose(command);
+        mOpenProposals.add(proposal);
+        proposal.whenComplete((result, failure) -> mOpenProposals.remove(proposal));
+        return proposal;
+    }
+
+    /**
+     * Returns whether the other members commit without the disk of this one. The commands that this
+     * member could not write yet stay in memory, so their size is limited.
+     */
+    private boolean othersCommit() {
+        MemberStatus status = mConsensus.status();
+        return (!status.leading() || status.commitIndex() == status.lastIndex())
+                && mBytesSinceSnapshot < MAXIMUM_BYTES_BETWEEN_SNAPSHOTS;
+    }
+
+    /** Fails the proposals that were open already when the disk refused the same write before. */
+    private void failOverdueProposals(IbisstandException refusal) {
+        IbisstandException failure =
+                new IbisstandException(
+                        ErrorCode.OUTCOME_UNKNOWN,
+                        "the disk of this member refuses writes: " + refusal.getMessage(),
+                        refusal);
+        mOpenAtLastRefusal.forEach(proposal -> proposal.completeExceptionally(failure));
+        mOpenAtLastRefusal = Set.copyOf(mOpenProposals);
+    }
+
+    @Override
+    public boolean isStorageRefused() {
+        return mStorage.isRefused();
     }
 
     @Override
@@ -301,8 +344,10 @@
         long stateBytes = snapshot.map(previous -> previous.state().length).orElse(0);
         boolean hasEnoughCommandBytes = mBytesSinceSnapshot >= stateBytes / 2;
         int minimumEntries = mContext.settings().limits().snapshotAfterEntries();
-        if ((entries >= minimumEntries && hasEnoughCommandBytes)
-                || mBytesSinceSnapshot >= MAXIMUM_BYTES_BETWEEN_SNAPSHOTS) {
+        boolean isDue =
+                (entries >= minimumEntries && hasEnoughCommandBytes)
+                        || mBytesSinceSnapshot >= MAXIMUM_BYTES_BETWEEN_SNAPSHOTS;
+        if (isDue && !mStorage.isRefused()) {
             mBytesSinceSnapshot = 0;
             step(new Input.Compact(mAppliedIndex, mStateMachine.snapshot()));
         }
--- a/control/src/main/java/org/ibisstand/control/StorageThread.java
+++ b/control/src/main/java/org/ibisstand/control/StorageThread.java
@@ -1,15 +1,15 @@
 package org.ibisstand.control;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.consensus.Output;
 import org.ibisstand.storage.LogStore;
 
@@ -17,16 +17,28 @@
  * Writes to the disk on its own thread, so that the control thread does not wait. Writes that queue
  * up during one sync share the next, so the number of syncs does not grow with the number of
  * commands.
+ *
+ * <p>A write that the disk refuses is repeated until it succeeds; the writes behind it wait, and
+ * nothing that depends on them is reported as durable.
  */
 final class StorageThread implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 5;
 
+    /** Short against the seconds that an operator takes to free space. */
+    private static final long REPEAT_INTERVAL_MILLISECONDS = 100;
+
     private final LogStore mStore;
     private final LongConsumer mOnPersisted;
     private final Consumer<IbisstandException> mOnFailure;
-    private final BlockingQueue<Output.Persist> mPendingWrites = new LinkedBlockingQueue<>();
-    private final ExecutorService mThread =
-            Executors.newSingleThreadExecutor(task -> new Thread(task, "control-storage"));
+    private final Consumer<IbisstandException> mOnRefusal;
+    private final Queue<Output.Persist> mPendingWrites = new ConcurrentLinkedQueue<>();
+    private final ScheduledThreadPoolExecutor mThread =
+            new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "control-storage"));
+    private boolean mHasUnsyncedRecords;
+    private long mWrittenSequence;
+    private long mPersistedSequence;
+    private int mRefusals;
+    private volatile boolean mIsRefused;
 
     /**
      * Starts the thread.
@@ -34,16 +46,26 @@
      * @param store the store, which only this thread may use from now on
      * @param onPersisted called on the storage thread with the sequence up to which all outputs are
      *     durable
-     * @param onFailure called on the storage thread with the first failure, after which nothing is
-     *     written
+     * @param onRefusal called on the storage thread each time the disk refuses a write
+     * @param onFailure called on the storage thread with the first failed sync, after which nothing
+     *     is written
      */
     StorageThread(
-            LogStore store, LongConsumer onPersisted, Consumer<IbisstandException> onFailure) {
+            LogStore store,
+            LongConsumer onPersisted,
+            Consumer<IbisstandException> onRefusal,
+            Consumer<IbisstandException> onFailure) {
         mStore = store;
         mOnPersisted = onPersisted;
+        mOnRefusal = onRefusal;
         mOnFailure = onFailure;
     }
 
+    /** Returns whether the disk refused the last write. */
+    boolean isRefused() {
+        return mIsRefused;
+    }
+
     void write(Output.Persist persist) {
         mPendingWrites.add(persist);
         mThread.execute(this::writePending);
@@ -51,6 +73,8 @@
 
     @Override
     public void close() {
+        // Without the delayed repetitions: a disk that is still full must not delay the stop.
+        mThread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         mThread.shutdown();
         try {
             mThread.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -61,19 +85,64 @@
     }
 
     private void writePending() {
-        List<Output.Persist> batch = new ArrayList<>();
-        mPendingWrites.drainTo(batch);
-        if (batch.isEmpty()) {
-            return;
+        if (mRefusals > 0) {
+            return; // the repetition that is scheduled writes everything
+        }
+        writeAll();
+    }
+
+    private void repeat() {
+        int refusals = mRefusals;
+        mRefusals = 0;
+        writeAll();
+        if (mRefusals == 0) {
+            mIsRefused = false;
+            LogLine.info("storage_accepted").with("refusals", refusals).write();
+        } else {
+            mRefusals = refusals + 1;
         }
+    }
+
+    private void writeAll() {
         try {
-            batch.forEach(persist -> persist.writeTo(mStore));
-            if (batch.stream().anyMatch(persist -> !persist.records().isEmpty())) {
+            Optional<Output.Persist> next = Optional.ofNullable(mPendingWrites.peek());
+            while (next.isPresent()) {
+                next.get().writeTo(mStore);
+                mHasUnsyncedRecords |= !next.get().records().isEmpty();
+                mWrittenSequence = next.get().sequence();
+                mPendingWrites.remove();
+                next = Optional.ofNullable(mPendingWrites.peek());
+            }
+            if (mHasUnsyncedRecords) {
                 mStore.sync();
+                mHasUnsyncedRecords = false;
+            }
+            if (mWrittenSequence > mPersistedSequence) {
+                mPersistedSequence = mWrittenSequence;
+                mOnPersisted.accept(mPersistedSequence);
             }
-            mOnPersisted.accept(batch.getLast().sequence());
         } catch (IbisstandException e) {
-            mOnFailure.accept(e);
+            if (e.code() == ErrorCode.STORAGE_REFUSED) {
+                refused(e);
+            } else {
+                mOnFailure.accept(e);
+            }
+        }
+    }
+
+    private void refused(IbisstandException refusal) {
+        mRefusals++;
+        if (!mIsRefused) {
+            mIsRefused = true;
+            LogLine.warning("storage_refused")
+                    .code(refusal.code())
+                    .with("reason", refusal.getMessage())
+                    .with("pending_writes", mPendingWrites.size())
+                    .write();
+        }
+        mOnRefusal.accept(refusal);
+        if (!mThread.isShutdown()) {
+            mThread.schedule(this::repeat, REPEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/storage/src/main/java/org/ibisstand/storage/Disk.java
+++ b/storage/src/main/java/org/ibisstand/storage/Disk.java
@@ -1,6 +1,7 @@
 package org.ibisstand.storage;
 
 import java.io.IOException;
+import java.io.SyncFailedException;
 import java.util.List;
 
 /** File system operations of the log store, limited to one folder without subfolders. */
@@ -42,9 +43,9 @@
     /**
      * Makes all file creations, renames and deletions so far durable.
      *
-     * @throws IOException if the folder cannot be synced
+     * @throws SyncFailedException if the sync fails; it is then unknown which names are durable
      */
-    void syncFolder() throws IOException;
+    void syncFolder() throws SyncFailedException;
 
     /** Closes the folder, so that another process can open it. */
     @Override
--- a/storage/src/main/java/org/ibisstand/storage/FolderDisk.java
+++ b/storage/src/main/java/org/ibisstand/storage/FolderDisk.java
@@ -1,6 +1,7 @@
 package org.ibisstand.storage;
 
 import java.io.IOException;
+import java.io.SyncFailedException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -84,9 +85,11 @@
     }
 
     @Override
-    public void syncFolder() throws IOException {
+    public void syncFolder() throws SyncFailedException {
         try (FileChannel folder = FileChannel.open(mFolder, StandardOpenOption.READ)) {
             folder.force(true);
+        } catch (IOException e) {
+            throw syncFailed(e);
         }
     }
 
@@ -119,6 +122,12 @@
         }
     }
 
+    private static SyncFailedException syncFailed(IOException cause) {
+        SyncFailedException failure = new SyncFailedException(cause.getMessage());
+        failure.initCause(cause);
+        return failure;
+    }
+
     private static IbisstandException unusable(Path folder, String reason, Exception cause) {
         return new IbisstandException(
                 ErrorCode.DATA_FOLDER_UNUSABLE, "data folder " + folder + " " + reason, cause);
@@ -151,8 +160,12 @@
         }
 
         @Override
-        public void sync() throws IOException {
-            channel.force(true);
+        public void sync() throws SyncFailedException {
+            try {
+                channel.force(true);
+            } catch (IOException e) {
+                throw syncFailed(e);
+            }
         }
 
         @Override
--- a/storage/src/main/java/org/ibisstand/storage/LogStore.java
+++ b/storage/src/main/java/org/ibisstand/storage/LogStore.java
@@ -1,6 +1,7 @@
 package org.ibisstand.storage;
 
 import java.io.IOException;
+import java.io.SyncFailedException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -12,9 +13,11 @@
  * The durable log of a consensus member, with its snapshot, term and vote.
  *
  * <p>Appended records are durable only after {@link #sync}; all other changes are durable on
- * return. After the first failed disk operation the store rejects all later ones, because the
- * content of the disk is then unknown until the store is reopened and reads all files again. Not
- * safe for concurrent use.
+ * return. An operation that the disk refuses, for instance as it is full, may be repeated until it
+ * succeeds: it has changed nothing that was synced, and repeats the part that it had done. After a
+ * failed sync the store rejects all later operations, because the system may have dropped what it
+ * could not write, and a second sync would succeed without it; the content of the disk is then
+ * unknown until the store is reopened and reads all files again. Not safe for concurrent use.
  */
 public final class LogStore implements AutoCloseable {
     private final Disk mDisk;
@@ -23,6 +26,7 @@
     private final Deque<Segment> mSegments;
     private TermAndVote mTermAndVote;
     private long mSyncedIndex;
+    private boolean mAppendRefused;
     private boolean mFailed;
 
     LogStore(Disk disk, int segmentBytes, Recovered recovered, Deque<Segment> segments) {
@@ -65,7 +69,8 @@
      * Saves the term and vote, durable on return.
      *
      * @param termAndVote the term and vote to save
-     * @throws IbisstandException STORAGE_FAILED if this or an earlier disk operation failed
+     * @throws IbisstandException STORAGE_REFUSED if the disk refuses it, STORAGE_FAILED if this or
+     *     an earlier sync failed
      */
     public void saveTermAndVote(TermAndVote termAndVote) {
         runDiskOperation(() -> new Metadata(mIdentity, termAndVote).save(mDisk));
@@ -73,10 +78,12 @@
     }
 
     /**
-     * Appends records to the log; they are durable after the next {@link #sync}.
+     * Appends records to the log; they are durable after the next {@link #sync}. Skips the records
+     * that an attempt that was refused has appended already.
      *
      * @param records the records, in index order without gaps
-     * @throws IbisstandException STORAGE_FAILED if this or an earlier disk operation failed
+     * @throws IbisstandException STORAGE_REFUSED if the disk refuses it, STORAGE_FAILED if this or
+     *     an earlier sync failed
      */
     public void append(List<LogRecord> records) {
         runDiskOperation(() -> appendRecords(records));
@@ -86,7 +93,8 @@
      * Removes all records from an index on, durably on return.
      *
      * @param index the index of the first record to remove, after the snapshot
-     * @throws IbisstandException STORAGE_FAILED if this or an earlier disk operation failed
+     * @throws IbisstandException STORAGE_REFUSED if the disk refuses it, STORAGE_FAILED if this or
+     *     an earlier sync failed
      */
     public void truncateFrom(long index) {
         runDiskOperation(() -> truncateSegments(index));
@@ -95,7 +103,8 @@
     /**
      * Makes all appended records durable with a single sync.
      *
-     * @throws IbisstandException STORAGE_FAILED if this or an earlier disk operation failed
+     * @throws IbisstandException STORAGE_REFUSED if the disk refuses it, STORAGE_FAILED if this or
+     *     an earlier sync failed
      */
     public void sync() {
         runDiskOperation(this::syncNewestSegment);
@@ -107,7 +116,8 @@
      *
      * @param snapshot the snapshot, which replaces all records up to its index
      * @param logMatchesSnapshot whether this log contains the record at the snapshot's index
-     * @throws IbisstandException STORAGE_FAILED if this or an earlier disk operation failed
+     * @throws IbisstandException STORAGE_REFUSED if the disk refuses it, STORAGE_FAILED if this or
+     *     an earlier sync failed
      */
     public void saveSnapshot(StoredSnapshot snapshot, boolean logMatchesSnapshot) {
         runDiskOperation(
@@ -129,7 +139,12 @@
     }
 
     private void appendRecords(List<LogRecord> records) throws IOException {
+        boolean isRepeated = mAppendRefused;
+        mAppendRefused = true;
         for (LogRecord record : records) {
+            if (isRepeated && record.index() <= lastIndex()) {
+                continue;
+            }
             if (record.index() != lastIndex() + 1) {
                 throw new IllegalArgumentException(
                         "record " + record.index() + " cannot be appended after " + lastIndex());
@@ -140,12 +155,12 @@
             }
             mSegments.getLast().append(new RecordFrame(record, mSyncedIndex));
         }
+        mAppendRefused = false;
     }
 
     private void truncateSegments(long index) throws IOException {
         while (mSegments.size() > 1 && mSegments.getLast().firstIndex() >= index) {
-            mSegments.removeLast().delete(mDisk);
-            mDisk.syncFolder();
+            deleteLastSegment();
         }
         if (index <= lastIndex()) {
             mSegments.getLast().truncateFrom(index);
@@ -154,6 +169,9 @@
     }
 
     private void syncNewestSegment() throws IOException {
+        if (mSegments.isEmpty()) {
+            return; // a reset was refused after it had deleted all segments
+        }
         mSegments.getLast().sync();
         mSyncedIndex = lastIndex();
         mSegments.getLast().writeSyncMarker(mSyncedIndex);
@@ -167,32 +185,41 @@
 
     private void deleteCoveredSegments(long snapshotIndex) throws IOException {
         while (mSegments.size() > 1 && mSegments.getFirst().lastIndex() <= snapshotIndex) {
-            mSegments.removeFirst().delete(mDisk);
+            mSegments.getFirst().delete(mDisk);
+            mSegments.removeFirst();
             mDisk.syncFolder();
         }
     }
 
     private void resetLogAfter(long snapshotIndex) throws IOException {
         while (!mSegments.isEmpty()) {
-            mSegments.removeLast().delete(mDisk);
-            mDisk.syncFolder();
+            deleteLastSegment();
         }
         mSegments.addLast(Segment.create(mDisk, snapshotIndex + 1));
         mSyncedIndex = snapshotIndex;
     }
 
+    private void deleteLastSegment() throws IOException {
+        mSegments.getLast().delete(mDisk);
+        mSegments.removeLast();
+        mDisk.syncFolder();
+    }
+
     private void runDiskOperation(DiskOperation operation) {
         if (mFailed) {
             throw new IbisstandException(
                     ErrorCode.STORAGE_FAILED,
-                    "log store is unusable because an earlier disk operation failed");
+                    "log store is unusable because an earlier sync failed");
         }
         try {
             operation.run();
-        } catch (IOException e) {
+        } catch (SyncFailedException e) {
             mFailed = true;
             throw new IbisstandException(
                     ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()), e);
+        } catch (IOException e) {
+            throw new IbisstandException(
+                    ErrorCode.STORAGE_REFUSED, String.valueOf(e.getMessage()), e);
         }
     }
 
--- a/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
+++ b/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
@@ -1,6 +1,7 @@
 package org.ibisstand.storage;
 
 import java.io.IOException;
+import java.io.SyncFailedException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -23,7 +24,8 @@
     public MemoryDisk() {}
 
     /**
-     * Limits the total size of all files; writes that exceed it fail.
+     * Limits the total size of all files; of a write that exceeds it, only the part that fits is
+     * written.
      *
      * @param bytes the capacity in bytes
      */
@@ -108,7 +110,7 @@
     }
 
     @Override
-    public void syncFolder() throws IOException {
+    public void syncFolder() throws SyncFailedException {
         performSync();
         mDurableFiles.clear();
         mDurableFiles.putAll(mFiles);
@@ -117,18 +119,16 @@
     @Override
     public void close() {}
 
-    private void performSync() throws IOException {
+    private void performSync() throws SyncFailedException {
         if (mSyncFails) {
-            throw new IOException("simulated sync failure");
+            throw new SyncFailedException("simulated sync failure");
         }
         mSyncCount++;
     }
 
-    private void checkSpace(long addedBytes) throws IOException {
+    private long freeBytes() {
         long used = mFiles.values().stream().mapToLong(content -> content.mBytes.length).sum();
-        if (used + addedBytes > mCapacityBytes) {
-            throw new IOException("no space left on the disk");
-        }
+        return Math.max(0, mCapacityBytes - used);
     }
 
     /** A write that has not been synced. */
@@ -188,9 +188,15 @@
 
         @Override
         public void write(long position, byte[] bytes) throws IOException {
-            long growth = position + bytes.length - mContent.mBytes.length;
-            checkSpace(Math.max(0, growth));
-            mContent.addWrite(new UnsyncedWrite(Math.toIntExact(position), bytes.clone()));
+            long end = Math.min(position + bytes.length, mContent.mBytes.length + freeBytes());
+            int length = Math.toIntExact(Math.max(0, end - position));
+            if (length > 0) {
+                byte[] written = Arrays.copyOf(bytes, length);
+                mContent.addWrite(new UnsyncedWrite(Math.toIntExact(position), written));
+            }
+            if (length < bytes.length) {
+                throw new IOException("no space left on the disk");
+            }
         }
 
         @Override
@@ -199,7 +205,7 @@
         }
 
         @Override
-        public void sync() throws IOException {
+        public void sync() throws SyncFailedException {
             performSync();
             mContent.mDurableBytes = mContent.mBytes.clone();
             mContent.mUnsyncedWrites.clear();
--- a/storage/src/main/java/org/ibisstand/storage/StorageFile.java
+++ b/storage/src/main/java/org/ibisstand/storage/StorageFile.java
@@ -1,6 +1,7 @@
 package org.ibisstand.storage;
 
 import java.io.IOException;
+import java.io.SyncFailedException;
 
 /** An open file of a {@link Disk}. */
 public interface StorageFile extends AutoCloseable {
@@ -17,7 +18,7 @@
      *
      * @param position the offset of the first byte
      * @param bytes the bytes to write
-     * @throws IOException if not all bytes were written
+     * @throws IOException if not all bytes were written; the same write may be repeated
      */
     void write(long position, byte[] bytes) throws IOException;
 
@@ -32,9 +33,9 @@
     /**
      * Makes all writes so far durable.
      *
-     * @throws IOException if the sync fails; the content of the file is then unknown
+     * @throws SyncFailedException if the sync fails; the content of the file is then unknown
      */
-    void sync() throws IOException;
+    void sync() throws SyncFailedException;
 
     /** Closes the file without syncing it. */
     @Override
