--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -45,7 +45,7 @@
     private final Consumer<FleetState> mListener;
     private final Consumer<EngineNotices> mEngineListener;
     private final boolean mIsEntry;
-    private final RoutingConfigurationReader mReader = RoutingConfigurationReader.create();
+    private final Optional<RoutingConfigurationReader> mReader;
     private final Map<String, WireClient> mClients = new HashMap<>();
     private final Map<WireConnection, FleetUpdate> mUpdates = new HashMap<>();
     private int mEntries = INITIAL_ENTRIES;
@@ -72,6 +72,8 @@
         mContext = context;
         mControlThread = controlThread;
         mIsEntry = isEntry;
+        // Agents need no routing, and the reader is a large part of the work of their start.
+        mReader = isEntry ? Optional.of(RoutingConfigurationReader.create()) : Optional.empty();
         mListener = listener;
         mEngineListener = engineListener;
     }
@@ -158,11 +160,13 @@
 
     private void takeRouting(FleetUpdate update) {
         long known = mRouting.map(RoutingConfiguration::version).orElse(0L);
-        if (update.getRouting().isEmpty() || update.getRoutingVersion() <= known) {
+        if (mReader.isEmpty()
+                || update.getRouting().isEmpty()
+                || update.getRoutingVersion() <= known) {
             return;
         }
         try {
-            mRouting = Optional.of(mReader.read(update.getRouting().toByteArray()));
+            mRouting = mReader.map(reader -> reader.read(update.getRouting().toByteArray()));
             LogLine.info("routing_in_force")
                     .with("version", update.getRoutingVersion())
                     .with("before", known)
