Log an accepted write only when it was accepted

Cause: a sync that failed after refused writes was logged as if the disk took writes again, the batch of one sync had lost its bound, and a stop dropped the writes that were queued.

Change: acceptance is noted where the writes have succeeded; a batch is what is queued when it begins; a stop writes what is queued, as before, with one more attempt at a refused write.

Checked: ReplicatedLogTest, ControlDaemonTest, CurrentRoutingTest.

--- a/control/src/main/java/org/ibisstand/control/StorageThread.java
+++ b/control/src/main/java/org/ibisstand/control/StorageThread.java
@@ -1,9 +1,9 @@
 package org.ibisstand.control;
 
-import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -32,8 +32,8 @@
     private final Consumer<IbisstandException> mOnFailure;
     private final Consumer<IbisstandException> mOnRefusal;
     private final Queue<Output.Persist> mPendingWrites = new ConcurrentLinkedQueue<>();
-    private final ScheduledThreadPoolExecutor mThread =
-            new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "control-storage"));
+    private final ScheduledExecutorService mThread =
+            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control-storage"));
     private boolean mHasUnsyncedRecords;
     private long mWrittenSequence;
     private long mPersistedSequence;
@@ -73,8 +73,6 @@
 
     @Override
     public void close() {
-        // Without the delayed repetitions: a disk that is still full must not delay the stop.
-        mThread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         mThread.shutdown();
         try {
             mThread.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -85,33 +83,19 @@
     }
 
     private void writePending() {
-        if (mRefusals > 0) {
-            return; // the repetition that is scheduled writes everything
-        }
-        writeAll();
-    }
-
-    private void repeat() {
-        int refusals = mRefusals;
-        mRefusals = 0;
-        writeAll();
         if (mRefusals == 0) {
-            mIsRefused = false;
-            LogLine.info("storage_accepted").with("refusals", refusals).write();
-        } else {
-            mRefusals = refusals + 1;
+            writeAll();
         }
     }
 
     private void writeAll() {
         try {
-            Optional<Output.Persist> next = Optional.ofNullable(mPendingWrites.peek());
-            while (next.isPresent()) {
-                next.get().writeTo(mStore);
-                mHasUnsyncedRecords |= !next.get().records().isEmpty();
-                mWrittenSequence = next.get().sequence();
+            for (int remaining = mPendingWrites.size(); remaining > 0; remaining--) {
+                Output.Persist next = mPendingWrites.element();
+                next.writeTo(mStore);
+                mHasUnsyncedRecords |= !next.records().isEmpty();
+                mWrittenSequence = next.sequence();
                 mPendingWrites.remove();
-                next = Optional.ofNullable(mPendingWrites.peek());
             }
             if (mHasUnsyncedRecords) {
                 mStore.sync();
@@ -121,6 +105,7 @@
                 mPersistedSequence = mWrittenSequence;
                 mOnPersisted.accept(mPersistedSequence);
             }
+            accepted();
         } catch (IbisstandException e) {
             if (e.code() == ErrorCode.STORAGE_REFUSED) {
                 refused(e);
@@ -130,6 +115,14 @@
         }
     }
 
+    private void accepted() {
+        if (mRefusals > 0) {
+            LogLine.info("storage_accepted").with("refusals", mRefusals).write();
+            mRefusals = 0;
+            mIsRefused = false;
+        }
+    }
+
     private void refused(IbisstandException refusal) {
         mRefusals++;
         if (!mIsRefused) {
@@ -142,7 +135,7 @@
         }
         mOnRefusal.accept(refusal);
         if (!mThread.isShutdown()) {
-            mThread.schedule(this::repeat, REPEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+            mThread.schedule(this::writeAll, REPEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
         }
     }
 }
