--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -218,8 +218,7 @@
         gauge("configuration.revision", ControlStatus::revision);
         gauge("log.open_proposals", ControlStatus::openProposals);
         gauge("log.applied_index", status -> status.log().appliedIndex());
-        mMetrics.registerGauge(
-                "log.storage_refused", () -> mComponents.log().isStorageRefused() ? 1 : 0);
+        gauge("log.storage_refused", status -> mComponents.log().isStorageRefused() ? 1 : 0);
         gauge("registry.agents", status -> status.agents().size());
         gauge("watchers", status -> status.watchers().size());
     }
