--- a/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
+++ b/faults/src/test/java/org/ibisstand/faults/ExplainTest.java
@@ -29,6 +29,7 @@
 import org.ibisstand.settings.RoutingConfigurationReader;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
