Never let runs continue under newer weights

Cause: an order to load weights let the runs that had not ended go on under the newer weights. Such a run that is preempted is read again under them, and its parts then lie under the salt of the version that it began with, at its engine and in the store. A salt is only as good as what loads do to runs: no engine checks who made a part, so whoever names this engine as a source under the older salt, because news of the newer version has not reached it, gives an engine with older weights parts of newer ones. The same order may strike a run that has just gone on elsewhere.

Change: no order lets runs continue. They finish first, having moved to other engines where these have room; what still runs when the weights have been outdated for 8 s is reset, which ends the stream as a crash would. So every run begins and ends under one version, and the parts under a salt are of that version whatever a gateway, source or store believes.

--- a/agent/src/main/java/org/ibisstand/agent/ManagedEngine.java
+++ b/agent/src/main/java/org/ibisstand/agent/ManagedEngine.java
@@ -12,13 +12,12 @@
      *
      * @param model the model
      * @param version the version to load
-     * @param drainsFirst whether running requests finish first; otherwise they continue with the
-     *     new weights
+     * @param runHandling what happens to the running requests
      * @param expectedSequence the number of orders that the engine must have accepted before
      * @return whether the engine accepted the order or has the weights already
      */
     CompletableFuture<Boolean> load(
-            String model, long version, boolean drainsFirst, long expectedSequence);
+            String model, long version, RunHandling runHandling, long expectedSequence);
 
     /**
      * Requests changes of the engine's cache; a long poll that ends with the first change or after
--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -37,20 +37,11 @@
     private static final Duration NOTICE_PROPAGATION_TIME = Duration.ofMillis(60);
 
     /**
-     * The maximum wait for running requests before a load. Most responses end in this time. Waiting
-     * for the longest ones would keep the engine from serving new requests for several seconds
-     * under load.
+     * How long an engine may have outdated weights while it waits for its runs to finish; then they
+     * are reset. Below the platforms' limits of 11 s and up for a load at all engines, by the time
+     * of a load.
      */
-    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(700);
-
-    /**
-     * The maximum wait for running requests that cannot be moved, since no other engine has the
-     * same weights, while the engines with newer weights have spare capacity. It is half of the
-     * time of the longest responses in the data sheets of the platforms, as most running requests
-     * began well before the drain. At peak load the capacity of a draining engine is worth more
-     * than the runs that a longer wait would save.
-     */
-    private static final Duration LAST_ENGINE_MAXIMUM_DRAIN_TIME = Duration.ofMillis(2_000);
+    private static final Duration MAXIMUM_OUTDATED_TIME = Duration.ofMillis(8_000);
 
     /** The longest status interval in a large fleet for an engine that has no weights to load. */
     private static final Duration MAXIMUM_STATUS_INTERVAL = Duration.ofMillis(250);
@@ -174,9 +165,10 @@
         boolean isServing = mDrainStartedAt.isEmpty() && !status.loading();
         mNextStatusAt = isServing ? mClock.instant().plus(statusInterval()) : Instant.MIN;
         publishStatus(status);
-        if (outdatedModel.isPresent() && isDrained(outdatedModel.get(), status)) {
-            sendLoadOrder(outdatedModel.get(), status);
-        }
+        outdatedModel.ifPresent(
+                model ->
+                        runHandling(model, status)
+                                .ifPresent(handling -> sendLoadOrder(model, handling, status)));
     }
 
     private void logLoadedWeights(EngineStatus status) {
@@ -212,43 +204,29 @@
         return mStatus;
     }
 
-    private boolean isDrained(String model, EngineStatus status) {
+    /** Returns what a load order does to the runs of the engine; empty while the drain goes on. */
+    private Optional<RunHandling> runHandling(String model, EngineStatus status) {
         if (status.loading() || mDrainStartedAt.isEmpty()) {
-            return false;
+            return Optional.empty();
+        }
+        Instant now = mClock.instant();
+        Duration drainTime = Duration.between(mDrainStartedAt.get(), now);
+        if (drainTime.compareTo(NOTICE_PROPAGATION_TIME) < 0) {
+            return Optional.empty();
+        }
+        if (status.waiting() == 0 && status.running() == 0) {
+            return Optional.of(RunHandling.FINISH_FIRST);
         }
-        Duration drainTime = Duration.between(mDrainStartedAt.get(), mClock.instant());
-        boolean isIdle = status.waiting() == 0 && status.running() == 0;
-        Duration maximumDrainTime =
-                isLastEngineOfVersion(model, status)
-                        ? LAST_ENGINE_MAXIMUM_DRAIN_TIME
-                        : MAXIMUM_DRAIN_TIME;
-        return (isIdle && drainTime.compareTo(NOTICE_PROPAGATION_TIME) >= 0)
-                || drainTime.compareTo(maximumDrainTime) >= 0;
+        return outdatedTime(model, status).compareTo(MAXIMUM_OUTDATED_TIME) < 0
+                ? Optional.empty()
+                : Optional.of(RunHandling.RESET);
     }
 
-    /**
-     * Returns whether no other engine that serves now has the loaded version, so that runs cannot
-     * be moved, while at least one has a newer version and all have spare capacity.
-     */
-    private boolean isLastEngineOfVersion(String model, EngineStatus status) {
+    /** Returns the time since the first version that the engine has not loaded was announced. */
+    private Duration outdatedTime(String model, EngineStatus status) {
         long loaded = status.weights().get(model);
-        List<ServerRecord> servingEngines =
-                enginesOfService().stream()
-                        .filter(
-                                engine ->
-                                        !engine.getAddress().equals(mEngineAddress)
-                                                && !isLoading(engine))
-                        .toList();
-        return servingEngines.stream().noneMatch(engine -> latestVersion(engine, model) == loaded)
-                && servingEngines.stream().anyMatch(engine -> latestVersion(engine, model) > loaded)
-                && servingEngines.stream().allMatch(this::hasSpareCapacity);
-    }
-
-    /** Returns whether runs use at most half of the engine's KV cache. */
-    private boolean hasSpareCapacity(ServerRecord engine) {
-        EngineNotice notice =
-                mEngineNotices.getOrDefault(engine.getAddress(), EngineNotice.getDefaultInstance());
-        return notice.getUsedTokens() * 2 <= notice.getCapacityTokens();
+        return Duration.between(
+                mTargetVersionTimes.get(model).higherEntry(loaded).getValue(), mClock.instant());
     }
 
     /** Returns all engines of this engine's service; empty while this engine is not listed. */
@@ -314,12 +292,11 @@
                                                 latestVersion(server, model),
                                                 isLoading(server)))
                         .toList();
-        Instant outdatedSince = mTargetVersionTimes.get(model).higherEntry(loaded).getValue();
         return LoadSlotPolicy.mayLoadNow(
                 self.get().getServer(),
                 engines,
                 mTargetVersions.get(model),
-                Duration.between(outdatedSince, mClock.instant()));
+                outdatedTime(model, status));
     }
 
     private boolean isLoading(ServerRecord engine) {
@@ -338,23 +315,28 @@
         return Math.max(announced, engine.getWeightsOrDefault(model, 0));
     }
 
-    private void sendLoadOrder(String model, EngineStatus status) {
+    private void sendLoadOrder(String model, RunHandling runHandling, EngineStatus status) {
         long version = mTargetVersions.get(model);
         mRequestSentAt = Optional.of(mClock.instant());
-        boolean drainsFirst = status.running() == 0;
-        mEngine.load(model, version, drainsFirst, status.sequence())
+        mEngine.load(model, version, runHandling, status.sequence())
                 .whenCompleteAsync(
-                        (accepted, failure) -> onLoadReply(model, status, accepted, failure),
+                        (accepted, failure) ->
+                                onLoadReply(model, runHandling, status, accepted, failure),
                         mControlThread);
     }
 
     private void onLoadReply(
-            String model, EngineStatus statusBefore, Boolean accepted, Throwable failure) {
+            String model,
+            RunHandling runHandling,
+            EngineStatus statusBefore,
+            Boolean accepted,
+            Throwable failure) {
         mRequestSentAt = Optional.empty();
         LogLine.info("weights_ordered")
                 .with("model", model)
                 .with("version", mTargetVersions.get(model))
                 .with("running", statusBefore.running())
+                .with("runs", runHandling)
                 .with("accepted", failure == null && accepted)
                 .with("reason", failure == null ? "" : failure.getMessage())
                 .write();
--- a/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
@@ -13,7 +13,6 @@
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
-import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,48 +48,39 @@
         setTargetVersion(2);
         tickFor(Duration.ofMillis(200));
 
-        assertThat(mEngine.mOrders).containsExactly("2 waits 7");
+        assertThat(mEngine.mOrders).containsExactly("2 FINISH_FIRST 7");
     }
 
-    @Test
-    void sendsTheLoadOrderWhenTheDrainTimeIsOver() {
+    /**
+     * A run that continued under newer weights was preempted, and its engine cached its recomputed
+     * prompt under the salt of the older weights, where engines with those found it.
+     */
+    @ParameterizedTest
+    @CsvSource({"300, FINISH_FIRST", "2500, FINISH_FIRST", "7500, FINISH_FIRST", "60000, RESET"})
+    void runsContinuedUnderNewerWeights(long runMilliseconds, RunHandling expectedHandling) {
         mEngine.mRunning = 3;
         setTargetVersion(2);
-        tickFor(Duration.ofMillis(500));
-        assertThat(mEngine.mOrders).isEmpty();
-
-        tickFor(Duration.ofMillis(400));
+        Instant runEnd = mClock.instant().plusMillis(runMilliseconds);
+        while (mEngine.mOrders.isEmpty()) {
+            mEngine.mRunning = mClock.instant().isBefore(runEnd) ? 3 : 0;
+            tickFor(Duration.ofMillis(100));
+        }
 
-        assertThat(mEngine.mOrders).containsExactly("2 continues 7");
+        assertThat(mEngine.mOrders).containsExactly("2 " + expectedHandling + " 7");
     }
 
-    @ParameterizedTest
-    @CsvSource({"2, 400, 2000", "2, 600, 700", "1, 400, 700"})
-    void drainsLongerWhenRunsCannotBeMovedAndOthersHaveSpareCapacity(
-            long othersVersion, long othersTokens, long drainMilliseconds) {
+    @Test
+    void resetsRunsOnceTheWeightsHaveBeenOutdatedForTooLong() {
         mEngine.mRunning = 3;
-        mUpdater.update(
-                new FleetState(
-                        Optional.empty(),
-                        Map.of("model", 2L),
-                        List.of(
-                                record("self", ADDRESS, 1),
-                                record("other", "10.0.0.2:1", othersVersion)),
-                        1));
-        mUpdater.updateNotices(
-                EngineNotices.newBuilder()
-                        .addEngines(
-                                EngineNotice.newBuilder()
-                                        .setAddress("10.0.0.2:1")
-                                        .setUsedTokens(othersTokens)
-                                        .setCapacityTokens(1_000))
-                        .build());
-        tickFor(Duration.ofMillis(drainMilliseconds));
+        setTargetVersion(2);
+        tickFor(Duration.ofSeconds(5));
+        setTargetVersion(3);
+        tickFor(Duration.ofMillis(2_900));
         assertThat(mEngine.mOrders).isEmpty();
 
-        tickFor(Duration.ofMillis(200));
+        tickFor(Duration.ofMillis(300));
 
-        assertThat(mEngine.mOrders).containsExactly("2 continues 7");
+        assertThat(mEngine.mOrders).containsExactly("3 RESET 7");
     }
 
     @Test
@@ -99,7 +89,7 @@
         setTargetVersion(3);
         tickFor(Duration.ofMillis(200));
 
-        assertThat(mEngine.mOrders).containsExactly("3 waits 7");
+        assertThat(mEngine.mOrders).containsExactly("3 FINISH_FIRST 7");
     }
 
     @Test
@@ -112,7 +102,7 @@
         mEngine.mSequence = 0;
         tickFor(Duration.ofMillis(300));
 
-        assertThat(mEngine.mOrders).containsExactly("2 waits 7", "2 waits 0");
+        assertThat(mEngine.mOrders).containsExactly("2 FINISH_FIRST 7", "2 FINISH_FIRST 0");
     }
 
     @Test
@@ -151,7 +141,7 @@
 
     /** Accepts every load order; its state changes only through orders and the test. */
     private static final class FakeEngine implements ManagedEngine {
-        /** Each order as its version, whether running requests finish first, and its sequence. */
+        /** Each order as its version, what happens to runs, and its sequence. */
         private final List<String> mOrders = new ArrayList<>();
 
         private long mVersion = 1;
@@ -172,8 +162,8 @@
 
         @Override
         public CompletableFuture<Boolean> load(
-                String model, long version, boolean drainsFirst, long expectedSequence) {
-            mOrders.add(version + (drainsFirst ? " waits " : " continues ") + expectedSequence);
+                String model, long version, RunHandling runHandling, long expectedSequence) {
+            mOrders.add(version + " " + runHandling + " " + expectedSequence);
             mVersion = version;
             return CompletableFuture.completedFuture(true);
         }
