Play loads that agents order against gateways with different news

Cause of the gap: the tests let engines load weights by themselves, always with runs that continue, and told their one gateway everything. No test joined the order that an agent gives to what a gateway that missed a version then fetches.

Change, in tests only: simulated engines say what a load does to their runs (LoadMode). EngineHarness runs several gateways, each with its own news, and can answer their cache lookups. Engines check the server that a request expects, and can prefill a prompt late. Tests that play runs that continue stay as they are.

--- a/gateway/src/test/java/org/ibisstand/gateway/EngineHarness.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineHarness.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
 import org.ibisstand.base.ManualClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Address;
@@ -34,8 +35,9 @@
 import org.ibisstand.wire.message.ServerRecord;
 
 /**
- * A gateway with versioned engines and a KV cache store. Every method returns once all its effects
- * have happened, and the clock does not advance between calls.
+ * Gateways with versioned engines and a KV cache store. There is one gateway unless a test starts
+ * more, and all of them are told the same unless a test addresses one. Every method returns once
+ * all its effects have happened, and the clock does not advance between calls.
  */
 final class EngineHarness implements AutoCloseable {
     static final String MODEL = "model";
@@ -55,12 +57,13 @@
 
     private final VersionedFleet mFleet = new VersionedFleet();
     private final List<VersionedEngine> mEngines = new ArrayList<>();
-    private final Map<String, EngineNotice> mNotices = new ConcurrentHashMap<>();
-    private final Map<VersionedEngine, Instant> mLastActivity = new HashMap<>();
     private final Map<String, StreamCaller> mCallers = new TreeMap<>();
+    private final Map<String, InformedGateway> mGatewayByRequest = new HashMap<>();
     private final Set<String> mRequestedMoves = ConcurrentHashMap.newKeySet();
     private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(1_000));
-    private final GatewayDaemon mGateway;
+    private final List<InformedGateway> mGateways = new ArrayList<>();
+    private final Map<VersionedEngine, Integer> mReportedRunning = new ConcurrentHashMap<>();
+    private Optional<CacheLookupServers> mCacheLookups = Optional.empty();
     private final boolean mAnnouncesWeights;
     private final long mInitialVersion;
 
@@ -77,23 +80,52 @@
         for (int index = 0; index < engineCount; index++) {
             VersionedEngine engine = new VersionedEngine(mFleet, version);
             mEngines.add(engine);
-            mLastActivity.put(engine, mClock.instant());
-            mNotices.put(
+        }
+        startGateway(fleetState(version));
+    }
+
+    /** A gateway and the notices that have reached it. */
+    static final class InformedGateway {
+        private final GatewayDaemon mDaemon;
+        private final Map<String, EngineNotice> mNotices = new ConcurrentHashMap<>();
+        private final Map<VersionedEngine, Instant> mLastActivity = new HashMap<>();
+
+        private InformedGateway(GatewayDaemon daemon) {
+            mDaemon = daemon;
+        }
+
+        /** Applies what the control plane knows of routing, weights and servers. */
+        void update(FleetState state) {
+            mDaemon.update(state).join();
+        }
+
+        /** Applies a notice of an engine's weights version and of whether it loads others. */
+        void sendNotice(VersionedEngine engine, boolean isLoading, long version) {
+            mNotices.computeIfPresent(
                     engine.address(),
-                    EngineNotice.newBuilder()
-                            .setAddress(engine.address())
-                            .setCapacityTokens(CAPACITY_TOKENS)
-                            .build());
+                    (address, notice) ->
+                            notice.toBuilder()
+                                    .setLoading(isLoading)
+                                    .putWeights(MODEL, version)
+                                    .build());
+            repeatNotices();
+        }
+
+        private void reportRunning(VersionedEngine engine, int runningRequests) {
+            mNotices.computeIfPresent(
+                    engine.address(),
+                    (address, notice) ->
+                            notice.toBuilder()
+                                    .setRunning(runningRequests)
+                                    .setUsedTokens(runningRequests == 0 ? 0 : CAPACITY_TOKENS)
+                                    .build());
+        }
+
+        private void repeatNotices() {
+            mDaemon.updateEngines(
+                            EngineNotices.newBuilder().addAllEngines(mNotices.values()).build())
+                    .join();
         }
-        mGateway =
-                GatewayDaemon.start(
-                        Samples.SETTINGS,
-                        Samples.HEADER_NAMES,
-                        PromptHeader::read,
-                        new RecordingRunMoveProtocol(),
-                        mClock,
-                        new MetricRegistry());
-        setOrderedVersion(version);
     }
 
     /** Records which moves the gateway requests, before it sends the request. */
@@ -110,6 +142,35 @@
         }
     }
 
+    /** Starts another gateway, which knows only the given state and no notices. */
+    InformedGateway startGateway(FleetState state) {
+        InformedGateway gateway =
+                new InformedGateway(
+                        GatewayDaemon.start(
+                                Samples.SETTINGS,
+                                Samples.HEADER_NAMES,
+                                PromptHeader::read,
+                                new RecordingRunMoveProtocol(),
+                                mClock,
+                                new MetricRegistry()));
+        for (VersionedEngine engine : mEngines) {
+            gateway.mLastActivity.put(engine, mClock.instant());
+            gateway.mNotices.put(
+                    engine.address(),
+                    EngineNotice.newBuilder()
+                            .setAddress(engine.address())
+                            .setCapacityTokens(CAPACITY_TOKENS)
+                            .setAgent(
+                                    mCacheLookups
+                                            .map(lookups -> lookups.address(engine))
+                                            .orElse(""))
+                            .build());
+        }
+        mGateways.add(gateway);
+        gateway.update(state);
+        return gateway;
+    }
+
     VersionedEngine engine(int index) {
         return mEngines.get(index);
     }
@@ -122,51 +183,87 @@
         return mFleet;
     }
 
+    /** Lets gateways that start from now on ask agents what engines have cached. */
+    void startCacheLookups() {
+        mCacheLookups =
+                Optional.of(
+                        new CacheLookupServers(
+                                mEngines, engine -> mReportedRunning.getOrDefault(engine, 0)));
+    }
+
+    InformedGateway firstGateway() {
+        return mGateways.getFirst();
+    }
+
+    List<InformedGateway> gateways() {
+        return mGateways;
+    }
+
+    ManualClock clock() {
+        return mClock;
+    }
+
     /** Sets the weights version that operators ordered for all engines. */
     void setOrderedVersion(long version) {
+        FleetState state = fleetState(version);
+        mGateways.forEach(gateway -> gateway.update(state));
+    }
+
+    /** Returns a state with an ordered version and the engines' records from their start. */
+    FleetState fleetState(long orderedVersion) {
+        return fleetState(orderedVersion, engine -> mInitialVersion);
+    }
+
+    /** Returns a state with an ordered version and records of the engines' current weights. */
+    FleetState currentFleetState(long orderedVersion) {
+        return fleetState(orderedVersion, VersionedEngine::version);
+    }
+
+    private FleetState fleetState(
+            long orderedVersion, ToLongFunction<VersionedEngine> announcedVersion) {
         List<ServerRecord> records = new ArrayList<>();
         for (VersionedEngine engine : mEngines) {
             ServerRecord.Builder record =
                     ServerRecord.newBuilder()
-                            .setServer("server-" + records.size())
+                            .setServer(engine.serverName())
                             .setService("service")
                             .setAddress(engine.address())
                             .setSlots(4);
             if (mAnnouncesWeights) {
-                record.putWeights(MODEL, mInitialVersion);
+                record.putWeights(MODEL, announcedVersion.applyAsLong(engine));
             }
             records.add(record.build());
         }
-        mGateway.update(
-                        new FleetState(
-                                Optional.of(configuration()), Map.of(MODEL, version), records, 1))
-                .join();
+        return new FleetState(
+                Optional.of(configuration()), Map.of(MODEL, orderedVersion), records, 1);
     }
 
-    /** Sends the gateway a notice of an engine's weights version and of whether it loads others. */
+    /** Sends the gateways a notice of an engine's weights and of whether it loads others. */
     void sendNotice(VersionedEngine engine, boolean isLoading, long version) {
-        mNotices.computeIfPresent(
-                engine.address(),
-                (address, notice) ->
-                        notice.toBuilder()
-                                .setLoading(isLoading)
-                                .putWeights(MODEL, version)
-                                .build());
-        sendNotices();
+        mGateways.forEach(gateway -> gateway.sendNotice(engine, isLoading, version));
     }
 
-    /** Advances the clock past the backoff of engines, unless one would be treated as silent. */
-    void advancePastBackoff() {
+    /**
+     * Advances the clock past the backoff of engines, unless one would be treated as silent;
+     * returns whether it did.
+     */
+    boolean advancePastBackoff() {
         Instant next = mClock.instant().plus(REFUSAL_BACKOFF);
-        mEngines.stream()
-                .filter(VersionedEngine::isIdle)
-                .forEach(engine -> mLastActivity.put(engine, mClock.instant()));
-        if (mEngines.stream()
-                .allMatch(
-                        engine -> next.isBefore(mLastActivity.get(engine).plus(LONGEST_SILENCE)))) {
+        boolean isAnySilent = false;
+        for (InformedGateway gateway : mGateways) {
+            for (VersionedEngine engine : mEngines) {
+                if (engine.isIdle(request -> mGatewayByRequest.get(request) == gateway)) {
+                    gateway.mLastActivity.put(engine, mClock.instant());
+                }
+                Instant lastActivity = gateway.mLastActivity.get(engine);
+                isAnySilent |= !next.isBefore(lastActivity.plus(LONGEST_SILENCE));
+            }
+        }
+        if (!isAnySilent) {
             mClock.advance(REFUSAL_BACKOFF);
             sendNotices();
         }
+        return !isAnySilent;
     }
 
     /**
@@ -176,14 +273,10 @@
     void preferEngine(VersionedEngine preferred) {
         int first = mEngines.indexOf(preferred);
         for (int distance = 0; distance < mEngines.size(); distance++) {
+            VersionedEngine engine = mEngines.get((first + distance) % mEngines.size());
             int runningRequests = distance * BUSY_RUNNING_REQUESTS;
-            mNotices.computeIfPresent(
-                    mEngines.get((first + distance) % mEngines.size()).address(),
-                    (address, notice) ->
-                            notice.toBuilder()
-                                    .setRunning(runningRequests)
-                                    .setUsedTokens(runningRequests == 0 ? 0 : CAPACITY_TOKENS)
-                                    .build());
+            mReportedRunning.put(engine, runningRequests);
+            mGateways.forEach(gateway -> gateway.reportRunning(engine, runningRequests));
         }
         sendNotices();
     }
@@ -192,6 +285,12 @@
      * Sends a request, and returns its step once it runs, its refusal is delayed or it has ended.
      */
     RequestTimeline.Step sendRequest(String request, Repetition repetition, String prompt) {
+        return sendRequest(firstGateway(), request, repetition, prompt);
+    }
+
+    /** Sends a request to the given gateway, and returns its step as above. */
+    RequestTimeline.Step sendRequest(
+            InformedGateway gateway, String request, Repetition repetition, String prompt) {
         RequestTimeline timeline = mFleet.timeline(request);
         String message =
                 "POST %s HTTP/1.1\r\nHost: %s\r\nx-request: %s\r\n%s: %s\r\n"
@@ -202,7 +301,8 @@
                                         PromptHeader.NAME,
                                         prompt)
                         + "Connection: close\r\nContent-Length: 0\r\n\r\n";
-        mCallers.put(request, StreamCaller.send(mGateway.port(), message, timeline));
+        mGatewayByRequest.put(request, gateway);
+        mCallers.put(request, StreamCaller.send(gateway.mDaemon.port(), message, timeline));
         return timeline.awaitSettled();
     }
 
@@ -217,14 +317,16 @@
         RequestTimeline timeline = mFleet.timeline(request);
         int previousSteps = timeline.size();
         VersionedEngine engine = mFleet.engineOf(request).get();
-        mLastActivity.put(engine, mClock.instant());
+        mGatewayByRequest.get(request).mLastActivity.put(engine, mClock.instant());
         boolean isLast = engine.sendEvent(request);
         if (isLast) {
             timeline.awaitAny(previousSteps, Set.of(COMPLETED, TRUNCATED));
             return;
         }
         timeline.awaitAny(previousSteps, Set.of(EVENT, TRUNCATED));
-        mGateway.updateEngines(EngineNotices.getDefaultInstance()).join();
+        mGateways.forEach(
+                gateway ->
+                        gateway.mDaemon.updateEngines(EngineNotices.getDefaultInstance()).join());
         if (mRequestedMoves.remove(request)) {
             timeline.awaitAny(
                     previousSteps,
@@ -235,7 +337,7 @@
 
     /** Preempts a run, which recomputes its KV cache and continues. */
     void preempt(String request) {
-        mFleet.engineOf(request).get().preempt(request);
+        mFleet.engineOf(request).get().recompute(request);
         sendEvent(request);
     }
 
@@ -250,7 +352,19 @@
     /** Loads other weights at an engine, under which its runs continue. */
     void loadWeights(VersionedEngine engine, long version) {
         beginLoad(engine);
-        engine.completeLoad(version);
+        engine.completeLoad(version, LoadMode.RUNS_CONTINUE);
+    }
+
+    /** Resets the runs of an engine; requests that may be repeated go elsewhere. */
+    void resetRuns(VersionedEngine engine) {
+        engine.resetRuns();
+        awaitSettled();
+    }
+
+    /** Restarts an engine with its former weights, at its address and under a server name. */
+    void restart(VersionedEngine engine, String serverName) {
+        engine.restart(serverName);
+        awaitSettled();
     }
 
     void sendDelayedRefusals(VersionedEngine engine) {
@@ -277,8 +391,9 @@
 
     @Override
     public void close() {
-        mGateway.close();
+        mGateways.forEach(gateway -> gateway.mDaemon.close());
         mEngines.forEach(VersionedEngine::close);
+        mCacheLookups.ifPresent(CacheLookupServers::close);
     }
 
     /** Waits until no request is on its way to another engine after a refusal. */
@@ -287,8 +402,7 @@
     }
 
     private void sendNotices() {
-        mGateway.updateEngines(EngineNotices.newBuilder().addAllEngines(mNotices.values()).build())
-                .join();
+        mGateways.forEach(InformedGateway::repeatNotices);
     }
 
     private static String path(Repetition repetition) {
--- a/gateway/src/test/java/org/ibisstand/gateway/RequestTimeline.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/RequestTimeline.java
@@ -16,6 +16,7 @@
         ADMITTED,
         REFUSED,
         REFUSAL_DELAYED,
+        RESET,
         NOT_STOPPED,
         EVENT,
         COMPLETED,
@@ -53,7 +54,7 @@
      */
     synchronized Step awaitSettled() {
         Optional<Step> last = lastStepExceptEvents();
-        while (last.filter(step -> step != Step.REFUSED).isEmpty()) {
+        while (last.filter(step -> step != Step.REFUSED && step != Step.RESET).isEmpty()) {
             awaitStep();
             last = lastStepExceptEvents();
         }
--- a/gateway/src/test/java/org/ibisstand/gateway/StaleKvCacheTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/StaleKvCacheTest.java
@@ -96,12 +96,12 @@
                 load == LoadDuringMove.SOURCE_OF_AN_UNCOPIED_RUN,
                 () -> {
                     if (load != LoadDuringMove.SOURCE_OF_AN_UNCOPIED_RUN) {
-                        mSecond.completeLoad(3);
+                        mSecond.completeLoad(3, LoadMode.RUNS_CONTINUE);
                     }
                     if (load == LoadDuringMove.TARGET) {
                         mHarness.sendNotice(mSecond, false, 3);
                     } else {
-                        mFirst.completeLoad(3);
+                        mFirst.completeLoad(3, LoadMode.RUNS_CONTINUE);
                         mHarness.sendNotice(mFirst, false, 3);
                     }
                 });
--- a/gateway/src/test/java/org/ibisstand/gateway/StaleKvCacheWorkload.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/StaleKvCacheWorkload.java
@@ -158,7 +158,7 @@
 
     private void loadDuringMove(VersionedEngine engine, boolean sendsNotice) {
         if (engine.version() < mOrderedVersion && !engine.hasQueued()) {
-            engine.completeLoad(mOrderedVersion);
+            engine.completeLoad(mOrderedVersion, LoadMode.RUNS_CONTINUE);
             mLoadPhases.put(engine, LoadPhase.NONE);
             if (sendsNotice) {
                 mLateNotices.get(engine).clear();
@@ -213,7 +213,7 @@
                                 : mOrderedVersion;
                 addToTrace("load " + loadedVersion + " at " + label(engine));
                 mLoadPhases.put(engine, LoadPhase.NONE);
-                engine.completeLoad(loadedVersion);
+                engine.completeLoad(loadedVersion, LoadMode.RUNS_CONTINUE);
                 sendOrDelayNotice(engine, new Notice(false, loadedVersion));
             }
         }
--- a/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
@@ -16,6 +16,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.ibisstand.gateway.RequestTimeline.Step;
 import org.ibisstand.gateway.VersionedFleet.Violation;
 
@@ -36,9 +37,11 @@
     private final VersionedFleet mFleet;
     private final ScriptedServer mServer = ScriptedServer.start(this);
     private final VersionedKvCache mCache = new VersionedKvCache();
+    private String mServerName;
     private long mVersion;
     private boolean mLoading;
     private boolean mRejectsCopies;
+    private Runnable mBeforeStop = () -> {};
     private Runnable mOnStopped = () -> {};
     private final SequencedMap<String, CountDownLatch> mDelayedRefusals = new LinkedHashMap<>();
     private boolean mDelaysRefusals;
@@ -46,7 +49,7 @@
     VersionedEngine(VersionedFleet fleet, long version) {
         mFleet = fleet;
         mVersion = version;
-        fleet.add(this);
+        mServerName = fleet.add(this);
     }
 
     /** A run and the connection that its stream is written to. */
@@ -60,6 +63,7 @@
         private int mEventCount;
         private long mReportedVersion;
         private boolean mStarted;
+        private boolean mPrefilled;
 
         Run(VersionedEngine engine, String request, String identifier, Socket connection) {
             mEngine = engine;
@@ -89,6 +93,13 @@
         return mServer.address();
     }
 
+    /** Returns the name of the server that requests must expect. */
+    String serverName() {
+        synchronized (mFleet) {
+            return mServerName;
+        }
+    }
+
     VersionedKvCache cache() {
         return mCache;
     }
@@ -116,6 +127,13 @@
         }
     }
 
+    /** Sets a task that runs when the gateway wants a run stopped, right before it is. */
+    void beforeStop(Runnable task) {
+        synchronized (mFleet) {
+            mBeforeStop = task;
+        }
+    }
+
     /** Delays the response to every request that it refuses from now on. */
     void delayRefusals() {
         synchronized (mFleet) {
@@ -164,11 +182,13 @@
         }
     }
 
-    /** Returns whether no request runs here, is queued or has its refusal delayed. */
-    boolean isIdle() {
+    /** Returns whether no matching request runs or is queued here and no refusal is delayed. */
+    boolean isIdle(Predicate<String> requests) {
         synchronized (mFleet) {
             return mDelayedRefusals.isEmpty()
-                    && mFleet.runs().values().stream().noneMatch(run -> run.mEngine == this);
+                    && mFleet.runs().values().stream()
+                            .noneMatch(
+                                    run -> run.mEngine == this && requests.test(run.mIdentifier));
         }
     }
 
@@ -178,9 +198,78 @@
         }
     }
 
-    /** Switches to other weights, under which its runs continue. */
-    void completeLoad(long version) {
+    /** Returns how many of the parts, from the first on, are cached under a salt. */
+    int cachedParts(String salt, List<String> parts) {
+        synchronized (mFleet) {
+            int count = 0;
+            while (count < parts.size() && mCache.version(salt, parts.get(count)).isPresent()) {
+                count++;
+            }
+            return count;
+        }
+    }
+
+    /** Returns how many started or queued requests there are whose callers have not left. */
+    int runCount(boolean isStarted) {
+        synchronized (mFleet) {
+            mFleet.runs()
+                    .values()
+                    .removeIf(
+                            run ->
+                                    run.mEngine == this
+                                            && mFleet.timeline(run.mIdentifier).isFinished());
+            return (int)
+                    mFleet.runs().values().stream()
+                            .filter(run -> run.mEngine == this && run.mStarted == isStarted)
+                            .count();
+        }
+    }
+
+    /** Drops all cached parts, for want of memory. */
+    void evictCachedParts() {
+        synchronized (mFleet) {
+            mCache.clear();
+        }
+    }
+
+    /** Resets the streams of all runs, which ends them. */
+    void resetRuns() {
         synchronized (mFleet) {
+            List<Run> runs =
+                    mFleet.runs().values().stream().filter(run -> run.mEngine == this).toList();
+            for (Run run : runs) {
+                mFleet.runs().remove(run.mIdentifier);
+                addStep(run.mIdentifier, Step.RESET);
+                try {
+                    run.mConnection.setSoLinger(true, 0);
+                    run.mConnection.close();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                run.mEnded.countDown();
+            }
+        }
+    }
+
+    /** Starts a new incarnation at the same address, with its former weights and nothing cached. */
+    void restart(String serverName) {
+        synchronized (mFleet) {
+            mServerName = serverName;
+            mLoading = false;
+            mCache.clear();
+            mFleet.dropStoppedRuns(address());
+            resetRuns();
+        }
+    }
+
+    /** Switches to other weights; runs that have to finish first must have ended. */
+    void completeLoad(long version, LoadMode mode) {
+        synchronized (mFleet) {
+            if (mode == LoadMode.RUNS_RESET) {
+                resetRuns();
+            } else if (mode == LoadMode.RUNS_FINISH_FIRST && runCount(true) + runCount(false) > 0) {
+                throw new IllegalStateException("loads weights before its runs have finished");
+            }
             mVersion = version;
             mLoading = false;
             mCache.clear();
@@ -188,9 +277,10 @@
     }
 
     /** Recomputes the KV cache of a run's prompt and events with the current weights. */
-    void preempt(String request) {
+    void recompute(String request) {
         synchronized (mFleet) {
             Run run = mFleet.runs().get(request);
+            prefillOnce(run);
             run.mCacheVersions = new TreeSet<>(List.of(mVersion));
             run.parts().forEach(part -> addToCache(run, part, mVersion));
         }
@@ -200,6 +290,7 @@
     boolean sendEvent(String request) {
         synchronized (mFleet) {
             Run run = mFleet.runs().get(request);
+            prefillOnce(run);
             run.mEventCount++;
             run.mCacheVersions.add(mVersion);
             String text = "id: %d\ndata: %d\n\n".formatted(run.mEventCount, run.mEventCount);
@@ -269,6 +360,9 @@
     /** Starts or resumes a run; returns the status of a refusal, or zero. */
     private int admit(Run run) {
         synchronized (mFleet) {
+            if (!header(run.mRequest, "x-expected-server").equals(mServerName)) {
+                return MISDIRECTED_REQUEST;
+            }
             String expected = header(run.mRequest, "x-expected-weights");
             if (!expected.isEmpty() && Long.parseLong(expected) != mVersion) {
                 return MISDIRECTED_REQUEST;
@@ -277,9 +371,9 @@
                 return SERVICE_UNAVAILABLE;
             }
             String source = header(run.mRequest, "x-run-source");
-            if (source.isEmpty()) {
-                prefill(run);
-            } else {
+            if (source.isEmpty() && !mFleet.delaysPrefill()) {
+                prefillOnce(run);
+            } else if (!source.isEmpty()) {
                 Optional<SortedSet<Long>> cacheVersions = mFleet.takeStoppedRun(source, address());
                 if (cacheVersions.isEmpty()) {
                     return SERVICE_UNAVAILABLE;
@@ -293,12 +387,20 @@
 
     private void resume(Run run, SortedSet<Long> cacheVersions, String source) {
         run.mCacheVersions = cacheVersions;
+        run.mPrefilled = true;
         if (cacheVersions.stream().anyMatch(version -> version != mVersion)) {
             addViolation(run, cacheVersions, "run of " + mFleet.nameOf(source.split("/")[0]));
         }
         run.parts().forEach(part -> addToCache(run, part, cacheVersions.first()));
     }
 
+    private void prefillOnce(Run run) {
+        if (!run.mPrefilled) {
+            run.mPrefilled = true;
+            prefill(run);
+        }
+    }
+
     /** Uses the longest prefix of parts that is cached or can be fetched, and computes the rest. */
     private void prefill(Run run) {
         String source = header(run.mRequest, "x-source");
@@ -310,6 +412,9 @@
                             ? cached.or(() -> mFleet.cacheAt(source).version(run.salt(), part))
                             : Optional.empty();
             isCached = version.isPresent();
+            if (isCached && cached.isEmpty()) {
+                mFleet.addFetchedPart();
+            }
             if (version.isPresent() && version.get() != mVersion) {
                 String origin = cached.isPresent() ? "cache" : mFleet.nameOf(source);
                 addViolation(run, new TreeSet<>(List.of(version.get())), origin + ", part " + part);
@@ -344,6 +449,7 @@
         boolean isCopied;
         synchronized (mFleet) {
             isCopied = !mRejectsCopies;
+            mBeforeStop.run();
             Run run = mFleet.runs().get(identifier);
             if (run != null && run.mEngine == this) {
                 mFleet.runs().remove(identifier);
--- a/gateway/src/test/java/org/ibisstand/gateway/VersionedFleet.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/VersionedFleet.java
@@ -26,8 +26,10 @@
     private final VersionedKvCache mStore = new VersionedKvCache();
     private final List<Violation> mViolations = new ArrayList<>();
     private final Map<String, RequestTimeline> mTimelines = new ConcurrentHashMap<>();
+    private boolean mDelaysPrefill;
     private int mHandleCount;
     private int mResumedRuns;
+    private int mFetchedParts;
 
     /**
      * A request that used KV cache of other weights than its engine had.
@@ -55,8 +57,20 @@
      */
     private record StoppedRun(SortedSet<Long> cacheVersions, Set<String> holders) {}
 
-    void add(VersionedEngine engine) {
+    /** Adds an engine and returns the name of its server. */
+    String add(VersionedEngine engine) {
+        String server = "server-" + mEngines.size();
         mEngines.put(engine.address(), engine);
+        return server;
+    }
+
+    /** Makes engines prefill a prompt right before its first event instead of on its arrival. */
+    synchronized void delayPrefill() {
+        mDelaysPrefill = true;
+    }
+
+    boolean delaysPrefill() {
+        return mDelaysPrefill;
     }
 
     RequestTimeline timeline(String request) {
@@ -72,6 +86,15 @@
         return mResumedRuns;
     }
 
+    /** Returns how many parts engines fetched from each other and from the store. */
+    synchronized int fetchedParts() {
+        return mFetchedParts;
+    }
+
+    void addFetchedPart() {
+        mFetchedParts++;
+    }
+
     synchronized void restartStore() {
         mStore.clear();
     }
@@ -119,6 +142,11 @@
         return handle;
     }
 
+    /** Removes the copies of stopped runs that an engine has. */
+    void dropStoppedRuns(String engine) {
+        mStoppedRuns.values().forEach(stoppedRun -> stoppedRun.holders().remove(engine));
+    }
+
     /** Removes and returns a stopped run, if the engine has a copy of its KV cache. */
     Optional<SortedSet<Long>> takeStoppedRun(String source, String engine) {
         StoppedRun stoppedRun = mStoppedRuns.get(source);
