Do not count runs that a load reset as failures of their engine

What callers saw: after a load that reset runs, no gateway used the engine with the newest weights for up to 2 s, while the others were full.

Cause: each reset stream counted as a broken connection, doubled the engine's backoff and raised its failure share.

Change: while the agent of an engine announces a load, a broken attempt is no failure of the engine.

--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -280,7 +280,10 @@
         if (shouldCancel) {
             attempt.cancel();
         }
-        attempt.server().recordFailure(mGateway.now());
+        // A load may reset runs; the engine that then has the newest weights is not at fault.
+        if (!attempt.server().isLoading(mGateway.now())) {
+            attempt.server().recordFailure(mGateway.now());
+        }
         mLog.serverEvent("attempt_failed", attempt.server(), "reason", reason);
         if (isRetryable()) {
             retryOrFail(reason);
