Let half of the last engines load at a time, and keep their groups apart

What callers saw: since runs finish before a load, or are reset, the last engines with older weights waited all at once for runs that no engine was left to take over, and served nobody meanwhile.

Cause: a quarter of the engines drained at a time up to the last quarter, whose runs then had no engine with their weights to move to. The timeout of a group counted from the engines that were still waiting, so a later group drained beside one whose runs could not move.

Change: of the last engines half load at a time, so that runs of the older weights move to the other half. The timeout of a group counts all engines. A drain waits 2 s at most for runs that cannot move; the last engine, while the others have spare capacity, until its weights have been outdated for 8 s. A drain ends with its load, so that the next version, also of another model, drains anew.

--- a/agent/src/main/java/org/ibisstand/agent/LoadSlotPolicy.java
+++ b/agent/src/main/java/org/ibisstand/agent/LoadSlotPolicy.java
@@ -10,8 +10,10 @@
  *
  * <p>A new version is announced for all engines at once, sometimes before the previous one is
  * loaded everywhere. Parallel loads slow each other down and a loading engine serves no requests,
- * so a quarter of the engines loads at a time, those with the oldest weights first. All agents have
- * the same server list, so they compute the same order without exchanging messages.
+ * so a quarter of the engines loads at a time, those with the oldest weights first. Of the last
+ * ones, half load at a time: their runs move to the other half, so that in the end one engine has
+ * all runs of the older weights that have not finished. All agents have the same server list, so
+ * they compute the same order without exchanging messages.
  */
 final class LoadSlotPolicy {
     /** One group loads while the other three quarters of the engines serve requests. */
@@ -54,18 +56,25 @@
                         .toList();
         int groupSize = Math.max(1, (order.size() + GROUP_COUNT - 1) / GROUP_COUNT);
         int position = 0;
+        int updatedCount = 0;
+        int outdatedCount = 0;
         int enginesAhead = 0;
         boolean isSelfPassed = false;
         for (Engine engine : order) {
+            boolean isOutdated = engine.version() < targetVersion;
+            outdatedCount += isOutdated ? 1 : 0;
+            updatedCount += isOutdated ? 0 : 1;
             if (engine.name().equals(name)) {
                 isSelfPassed = true;
                 continue;
             }
             position += isSelfPassed ? 0 : 1;
-            boolean isOutdated = engine.version() < targetVersion;
             enginesAhead += isOutdated && (!isSelfPassed || engine.loading()) ? 1 : 0;
         }
-        Duration maximumWait = GROUP_TIMEOUT.multipliedBy(1 + position / groupSize);
-        return enginesAhead < groupSize || outdatedFor.compareTo(maximumWait) >= 0;
+        // Engines that have loaded are sorted last; counting them keeps the group of each engine.
+        Duration maximumWait =
+                GROUP_TIMEOUT.multipliedBy(1 + (position + updatedCount) / groupSize);
+        int slots = Math.clamp((outdatedCount + 1) / 2, 1, groupSize);
+        return enginesAhead < slots || outdatedFor.compareTo(maximumWait) >= 0;
     }
 }
--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -37,11 +37,17 @@
     private static final Duration NOTICE_PROPAGATION_TIME = Duration.ofMillis(60);
 
     /**
-     * How long an engine may have outdated weights while it waits for its runs to finish; then they
-     * are reset. Below the platforms' limits of 11 s and up for a load at all engines, by the time
+     * The maximum wait for runs that cannot be moved; then they are reset. An engine that waited
+     * for its longest runs would serve no new requests for many seconds under load.
+     */
+    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(2_000);
+
+    /**
+     * How long the last engine with outdated weights may have them, while the others have spare
+     * capacity. Below the platforms' limits of 11 s and up for a load at all engines, by the time
      * of a load.
      */
-    private static final Duration MAXIMUM_OUTDATED_TIME = Duration.ofMillis(8_000);
+    private static final Duration LAST_ENGINE_MAXIMUM_OUTDATED_TIME = Duration.ofMillis(8_000);
 
     /** The longest status interval in a large fleet for an engine that has no weights to load. */
     private static final Duration MAXIMUM_STATUS_INTERVAL = Duration.ofMillis(250);
@@ -155,10 +161,10 @@
                 mTargetVersions.keySet().stream()
                         .filter(model -> isLoadDue(model, status))
                         .findFirst();
-        if (outdatedModel.isPresent() && mDrainStartedAt.isEmpty()) {
-            mDrainStartedAt = Optional.of(mClock.instant());
-        } else if (outdatedModel.isEmpty() && !status.loading()) {
+        if (outdatedModel.isEmpty() || status.loading()) {
             mDrainStartedAt = Optional.empty();
+        } else if (mDrainStartedAt.isEmpty()) {
+            mDrainStartedAt = Optional.of(mClock.instant());
         }
         logLoadedWeights(status);
         mStatus = Optional.of(status);
@@ -217,9 +223,38 @@
         if (status.waiting() == 0 && status.running() == 0) {
             return Optional.of(RunHandling.FINISH_FIRST);
         }
-        return outdatedTime(model, status).compareTo(MAXIMUM_OUTDATED_TIME) < 0
-                ? Optional.empty()
-                : Optional.of(RunHandling.RESET);
+        boolean isWaitOver =
+                drainTime.compareTo(MAXIMUM_DRAIN_TIME) >= 0
+                        && (!isLastEngineOfVersion(model, status)
+                                || outdatedTime(model, status)
+                                                .compareTo(LAST_ENGINE_MAXIMUM_OUTDATED_TIME)
+                                        >= 0);
+        return isWaitOver ? Optional.of(RunHandling.RESET) : Optional.empty();
+    }
+
+    /**
+     * Returns whether no other engine that serves now has the loaded version, so that runs cannot
+     * be moved, while at least one has a newer version and all have spare capacity.
+     */
+    private boolean isLastEngineOfVersion(String model, EngineStatus status) {
+        long loaded = status.weights().get(model);
+        List<ServerRecord> servingEngines =
+                enginesOfService().stream()
+                        .filter(
+                                engine ->
+                                        !engine.getAddress().equals(mEngineAddress)
+                                                && !isLoading(engine))
+                        .toList();
+        return servingEngines.stream().noneMatch(engine -> latestVersion(engine, model) == loaded)
+                && servingEngines.stream().anyMatch(engine -> latestVersion(engine, model) > loaded)
+                && servingEngines.stream().allMatch(this::hasSpareCapacity);
+    }
+
+    /** Returns whether runs use at most half of the engine's KV cache. */
+    private boolean hasSpareCapacity(ServerRecord engine) {
+        EngineNotice notice =
+                mEngineNotices.getOrDefault(engine.getAddress(), EngineNotice.getDefaultInstance());
+        return notice.getUsedTokens() * 2 <= notice.getCapacityTokens();
     }
 
     /** Returns the time since the first version that the engine has not loaded was announced. */
