Name the model in the cache salt

Nothing was seen by callers. Found while looking for the cause of stale KV cache elsewhere: the salt named the cache group and a version, but not whose version. Two models of one version shared a salt, so that only the engines and the store kept their parts apart, and agents took the parts of one for those of the other. A team whose name ends like a model could have met another one's salt.

Change: the salt is version, model and cache group, with the length of the model's name, so that no two triples have the same text. It also differs from the salts of earlier releases, under which runs that continued across a load may have left parts in a store.

EngineGatewayTest checks the new text on the wire.

--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -92,7 +92,8 @@
 
         /** Returns the cache scope at a server; it never matches prompts of other weights. */
         CacheScope scope(BackendServer server) {
-            return CacheScope.of(cacheGroup, server.expectedWeights(prompt.model()), nonce);
+            String model = prompt.model();
+            return CacheScope.of(cacheGroup, model, server.expectedWeights(model), nonce);
         }
     }
 
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -74,17 +74,17 @@
         mServers.forEach(ScriptedServer::close);
     }
 
-    /** Teams of the configuration by API key and prefix of their cache salt. */
+    /** Teams of the configuration by API key and cache group. */
     enum Team {
         SHARED("key", "shared"),
         ISOLATED("secret", "team-t2");
 
         private final String mKey;
-        private final String mSaltPrefix;
+        private final String mCacheGroup;
 
-        Team(String key, String saltPrefix) {
+        Team(String key, String cacheGroup) {
             mKey = key;
-            mSaltPrefix = saltPrefix;
+            mCacheGroup = cacheGroup;
         }
     }
 
@@ -98,8 +98,8 @@
         sendRequest(team);
 
         List<String> requests = mServers.getFirst().requests();
-        assertThat(header(requests.get(0), "x-salt")).isEqualTo(team.mSaltPrefix + "-1");
-        assertThat(header(requests.get(1), "x-salt")).isEqualTo(team.mSaltPrefix + "-2");
+        assertThat(header(requests.get(0), "x-salt")).isEqualTo("1/5/model/" + team.mCacheGroup);
+        assertThat(header(requests.get(1), "x-salt")).isEqualTo("2/5/model/" + team.mCacheGroup);
         assertThat(header(requests.get(0), "x-expected-weights")).isEqualTo("1");
         assertThat(header(requests.get(1), "x-expected-weights")).isEqualTo("2");
     }
@@ -119,7 +119,7 @@
         assertThat(sendRequest(Team.SHARED)).startsWith("HTTP/1.1 503");
         assertThat(sendRequest(Team.SHARED)).startsWith("HTTP/1.1 200");
         assertThat(header(mServers.getFirst().requests().getLast(), "x-salt"))
-                .isEqualTo("shared-2");
+                .isEqualTo("2/5/model/shared");
     }
 
     /** Outcomes of the gateway's request to stop a run and copy its KV cache to another engine. */
