Begin long runs at engines with the newest weights

What callers saw: streams that began just before their engine loaded newer weights were moved, or reset where no engine had memory for them.

Cause: engines with outdated weights were chosen by load alone, with a penalty of 20 ms, for runs of 50 ms and of 10 s alike.

Change: while newer weights are ordered, a run of 150 or more output tokens goes to an engine that has them and has memory for it, if there is one. Short runs still use the engines that wait for their load.

EngineLoadTest.longRunsDoNotBeginOnOutdatedWeights fails without the preference.

--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -126,9 +126,6 @@
             PlacementRequest request, BackendServer source, CacheScope scope) {
         long now = mClock.millis();
         Prompt prompt = request.prompt();
-        long needed = (long) prompt.promptTokens() + prompt.maximumOutputTokens();
-        long capacity =
-                request.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
         List<BackendServer> eligible =
                 mDirectory.available(request.service(), request.excluded()).stream()
                         .filter(
@@ -140,7 +137,7 @@
                                 candidate ->
                                         candidate.observedWeights(prompt.model())
                                                 == scope.weights())
-                        .filter(candidate -> usedTokens(candidate, now) + needed <= capacity)
+                        .filter(candidate -> hasMemory(request, candidate, now))
                         .toList();
         // An engine without a recent notice may be loading weights and would reject the run.
         List<BackendServer> reported =
@@ -197,7 +194,27 @@
                         .toList();
         List<BackendServer> notLoading =
                 allowed.stream().filter(server -> !server.isLoading(now)).toList();
-        return notLoading.isEmpty() ? allowed : notLoading;
+        List<BackendServer> usable = notLoading.isEmpty() ? allowed : notLoading;
+        List<BackendServer> finishing =
+                usable.stream().filter(server -> canFinish(request, server, now)).toList();
+        return finishing.isEmpty() ? usable : finishing;
+    }
+
+    /** Returns whether the run has memory at a server and can finish there without a move. */
+    private boolean canFinish(PlacementRequest request, BackendServer server, long now) {
+        Prompt prompt = request.prompt();
+        boolean isOutdated =
+                server.expectedWeights(prompt.model()) < mWeightsHistory.newest(prompt.model());
+        return OutdatedWeights.canFinish(prompt.maximumOutputTokens(), isOutdated)
+                && hasMemory(request, server, now);
+    }
+
+    private static boolean hasMemory(PlacementRequest request, BackendServer server, long now) {
+        Prompt prompt = request.prompt();
+        long needed = (long) prompt.promptTokens() + prompt.maximumOutputTokens();
+        long capacity =
+                request.service().engine().map(RoutedService.Engine::cacheTokens).orElse(0L);
+        return usedTokens(server, now) + needed <= capacity;
     }
 
     private long staleMilliseconds(BackendServer server, String model, long now) {
--- a/gateway/src/test/java/org/ibisstand/gateway/PromptHeader.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/PromptHeader.java
@@ -14,12 +14,23 @@
 
     private static final int OUTPUT_TOKENS = 10;
 
+    /** The last part of a prompt with a long response begins so. */
+    static final String LONG_RUN = "long";
+
+    private static final int LONG_OUTPUT_TOKENS = 1_000;
+
     private PromptHeader() {}
 
     static Optional<Prompt> read(HttpHeaders headers) {
         List<Prompt.Part> parts = parts(headers.get(NAME));
         return Optional.of(
-                new Prompt(EngineHarness.MODEL, parts.size() * PART_TOKENS, OUTPUT_TOKENS, parts));
+                new Prompt(
+                        EngineHarness.MODEL,
+                        parts.size() * PART_TOKENS,
+                        parts.getLast().identifier().startsWith(LONG_RUN)
+                                ? LONG_OUTPUT_TOKENS
+                                : OUTPUT_TOKENS,
+                        parts));
     }
 
     static List<Prompt.Part> parts(String text) {
