Treat a stream without length that ends before an event as broken off

A response may have neither a length nor chunks and end with its connection. When an engine ended such a stream before its first event, as it does when it crashes there, callers received an empty stream that looked complete.

The gateway now retries such a stream or fails it. A resumed stream may still end without a further event, since the caller may have all of them.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -29,6 +29,7 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPendingTokensRemoved;
+    private boolean mDelimited;
     private boolean mReleased;
 
     Attempt(
@@ -174,6 +175,7 @@
         if (wasNotExecuted) {
             mForwarder.rejectedByServer(this, head.status().code());
         } else if (mRelay.isPresent()) {
+            mDelimited = delimited;
             finishStream();
         } else {
             finishBuffered(head);
@@ -194,6 +196,8 @@
                         () -> {
                             if (mRelay.get().hasIncompleteEvent()) {
                                 mForwarder.attemptFailed(this, "stream_ends_inside_event", false);
+                            } else if (!mRelay.get().isStarted() && !mDelimited) {
+                                mForwarder.attemptFailed(this, "stream_ends_without_event", false);
                             } else {
                                 mServer.recordSuccess();
                                 mForwarder.streamCompleted(this);
