Quarantine parts of prompts that crash engines

Cause: after a crash a gateway sent the request to the next engine, and every gateway sent the next request with the part again. Nothing counted crashes by part.

A request that fails before its first event at an engine that crashed makes the parts of its prompt suspects, except the last one and those that an engine ever responded to. One broken connection is no crash: the engine must refuse the next connection, be unreachable for its agent, or have a successor. The gateways report suspects and acquittals to control, whose members merge them in memory and tell all gateways. A part that is suspect of crashes at three moments is quarantined: requests with it get 502 without Retry-After before each attempt. Until then, a request with a part that is suspect of an earlier crash is not sent to another engine.

Parts that occurred together in all failed requests are refused only together, so nobody can have the part of another refused by adding it to prompts. Engines that fail at the same moment, for instance with the power of a rack, count once. Evidence expires after 30 minutes and is bounded.

The reports are a field of EngineNotices that earlier versions skip.

--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -17,6 +17,7 @@
 import org.ibisstand.control.message.Command;
 import org.ibisstand.control.message.NameWeights;
 import org.ibisstand.control.message.PutRouting;
+import org.ibisstand.fleet.CrashReportCodec;
 import org.ibisstand.fleet.NoticePace;
 import org.ibisstand.settings.ControlSettings;
 import org.ibisstand.wire.WireConnection;
@@ -24,6 +25,7 @@
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.FleetWatch;
+import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.JoinRequest;
 import org.ibisstand.wire.message.ServerNotice;
 import org.ibisstand.wire.message.ServerRecord;
@@ -49,6 +51,7 @@
     private final ServerDirectory mDirectory;
     private final FleetWatchers mWatchers;
     private final FleetPeers mPeers;
+    private final CrashReportRelay mCrashReports;
     private final String mAddress;
     private final Map<String, EngineNotice> mPendingNotices = new HashMap<>();
     private final Set<String> mLoadingEngines = new HashSet<>();
@@ -77,7 +80,11 @@
         Duration interval = Duration.ofMillis(settings.timing().announcementMilliseconds());
         mDirectory = ServerDirectory.create(interval, clock.instant());
         mWatchers = new FleetWatchers(state, mDirectory, this::memberAddresses, clock);
-        mPeers = new FleetPeers(wire, controlThread, mDirectory::records);
+        mPeers = new FleetPeers(wire, controlThread, this::framesForNewPeer);
+        mCrashReports =
+                new CrashReportRelay(
+                        notices -> mPeers.broadcast(Frame.newBuilder().setEngineNotices(notices)),
+                        clock);
         mNextJoinTime = clock.instant().plus(JOIN_INTERVAL);
     }
 
@@ -151,6 +158,12 @@
                 () -> CompletableFuture.completedFuture(mDirectory.find(server)));
     }
 
+    /** Returns what this member knows of crashes of engines. */
+    CompletableFuture<EngineNotices> crashReports() {
+        return callOnControlThread(
+                () -> CompletableFuture.completedFuture(mCrashReports.notices()));
+    }
+
     /** Returns the wire address of the leader while this member knows one. */
     public Optional<String> leaderAddress() {
         return mLeaderAddress;
@@ -159,17 +172,22 @@
     void watch(WireConnection connection, long correlation, FleetWatch watch) {
         LogLine.info("watcher_added").with("watcher", watch.getProcess()).write();
         mWatchers.watch(connection, correlation, watch);
+        if (!watch.getProcess().isEmpty()) {
+            mCrashReports.watch(connection, correlation);
+        }
     }
 
     void closed(WireConnection connection) {
         mWatchers.closed(connection);
+        mCrashReports.closed(connection);
     }
 
     /**
      * Sends engine states from agents to the watchers: at once if an engine starts or ends loading
-     * weights, otherwise together with the next batch.
+     * weights, otherwise together with the next batch. Merges crash reports of entries and members.
      */
     void receiveEngineNotices(EngineNotices notices) {
+        CrashReportCodec.decode(notices).ifPresent(mCrashReports::receive);
         EngineNotices.Builder urgent = EngineNotices.newBuilder();
         for (EngineNotice notice : notices.getEnginesList()) {
             mPendingNotices.put(notice.getAddress(), notice);
@@ -244,6 +262,7 @@
             LogLine.info("routing_in_force").with("version", mLoggedRoutingVersion).write();
         }
         mWatchers.flush();
+        mCrashReports.flush();
         if (!now.isBefore(mNextNoticeTime)) {
             sendEngineNotices(now);
         }
@@ -272,10 +291,20 @@
             mWatchers.flush();
         }
         if (isNewer && isDirect) {
-            mPeers.broadcast(record);
+            mPeers.broadcast(
+                    Frame.newBuilder()
+                            .setServerNotice(ServerNotice.newBuilder().addServers(record)));
         }
     }
 
+    private List<Frame> framesForNewPeer() {
+        ServerNotice servers =
+                ServerNotice.newBuilder().addAllServers(mDirectory.records()).build();
+        return List.of(
+                Frame.newBuilder().setServerNotice(servers).build(),
+                Frame.newBuilder().setEngineNotices(mCrashReports.notices()).build());
+    }
+
     private void finishJoin(String member, Throwable failure) {
         mJoiningMembers.remove(member);
         LogLine line =
--- a/control/src/main/java/org/ibisstand/control/FleetPeers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetPeers.java
@@ -15,24 +15,22 @@
 import org.ibisstand.wire.WireContext;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.JoinRequest;
-import org.ibisstand.wire.message.ServerNotice;
-import org.ibisstand.wire.message.ServerRecord;
 
 /**
- * Forwards the announcements of backend servers that this member received to the other members;
- * used on the control thread. A new connection first gets the whole directory, so that a restarted
- * member knows all servers immediately.
+ * Forwards the announcements of backend servers and the crash reports that this member received to
+ * the other members; used on the control thread. A new connection first gets everything, so that a
+ * restarted member knows all servers immediately.
  */
 final class FleetPeers implements AutoCloseable {
     private final WireContext mContext;
     private final Executor mControlThread;
-    private final Supplier<List<ServerRecord>> mRecords;
+    private final Supplier<List<Frame>> mInitialFrames;
     private final Map<String, WireClient> mClients = new HashMap<>();
 
-    FleetPeers(WireContext context, Executor controlThread, Supplier<List<ServerRecord>> records) {
+    FleetPeers(WireContext context, Executor controlThread, Supplier<List<Frame>> initialFrames) {
         mContext = context;
         mControlThread = controlThread;
-        mRecords = records;
+        mInitialFrames = initialFrames;
     }
 
     /** Connects to the given addresses and closes all other connections. */
@@ -49,10 +47,9 @@
         addresses.forEach(address -> mClients.computeIfAbsent(address, this::connect));
     }
 
-    /** Sends a record to all connected members. */
-    void broadcast(ServerRecord record) {
-        ServerNotice notice = ServerNotice.newBuilder().addServers(record).build();
-        sendToAll(Frame.newBuilder().setServerNotice(notice).build());
+    /** Sends a frame to all connected members. */
+    void broadcast(Frame.Builder frame) {
+        sendToAll(frame.build());
     }
 
     /** Asks all members to add this one to the group; only the leader acts on it. */
@@ -81,11 +78,11 @@
         return WireClient.connect(
                 mContext,
                 new InetSocketAddress(address.host(), address.port()),
-                new DirectorySender());
+                new InitialSender());
     }
 
-    /** Sends the whole directory on a new connection, and monitors the connection for silence. */
-    private final class DirectorySender implements FrameHandler {
+    /** Sends everything on a new connection, and monitors the connection for silence. */
+    private final class InitialSender implements FrameHandler {
         @Override
         public void received(WireConnection connection, Frame frame) {
             // Members send no replies on this connection.
@@ -95,11 +92,10 @@
         public void opened(WireConnection connection) {
             connection.watch();
             mControlThread.execute(
-                    () -> {
-                        ServerNotice notice =
-                                ServerNotice.newBuilder().addAllServers(mRecords.get()).build();
-                        connection.send(0, Frame.newBuilder().setServerNotice(notice));
-                    });
+                    () ->
+                            mInitialFrames
+                                    .get()
+                                    .forEach(frame -> connection.send(0, frame.toBuilder())));
         }
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashReportCodec.java
@@ -0,0 +1,165 @@
+package org.ibisstand.fleet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnknownFieldSet;
+import com.google.protobuf.UnknownFieldSet.Field;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.ibisstand.base.LogLine;
+import org.ibisstand.fleet.CrashReport.Acquittal;
+import org.ibisstand.fleet.CrashReport.Crash;
+import org.ibisstand.fleet.CrashReport.Incarnation;
+import org.ibisstand.wire.message.EngineNotices;
+
+/**
+ * Encodes crash reports in a field of {@link EngineNotices} that earlier versions skip. wire.proto
+ * describes the format.
+ */
+public final class CrashReportCodec {
+    private static final int REPORT = 2;
+
+    private static final int REPORT_CRASHES = 1;
+    private static final int REPORT_ACQUITTALS = 2;
+
+    private static final int CRASH_SERVER = 1;
+    private static final int CRASH_BORN = 2;
+    private static final int CRASH_AGE = 3;
+    private static final int CRASH_SUSPECTS = 4;
+
+    private static final int SUSPECT_PARTS = 1;
+
+    private static final int ACQUITTAL_PART = 1;
+    private static final int ACQUITTAL_AGE = 2;
+
+    private CrashReportCodec() {}
+
+    /** Returns notices that contain only a crash report. */
+    public static EngineNotices encode(CrashReport report) {
+        Field.Builder crashes = Field.newBuilder();
+        report.crashes().forEach(crash -> crashes.addLengthDelimited(encode(crash)));
+        Field.Builder acquittals = Field.newBuilder();
+        report.acquittals().forEach(acquittal -> acquittals.addLengthDelimited(encode(acquittal)));
+        ByteString message =
+                UnknownFieldSet.newBuilder()
+                        .addField(REPORT_CRASHES, crashes.build())
+                        .addField(REPORT_ACQUITTALS, acquittals.build())
+                        .build()
+                        .toByteString();
+        return EngineNotices.newBuilder()
+                .setUnknownFields(
+                        UnknownFieldSet.newBuilder().addField(REPORT, bytes(message)).build())
+                .build();
+    }
+
+    /** Returns the crash report of notices; empty if they contain none that can be read. */
+    public static Optional<CrashReport> decode(EngineNotices notices) {
+        if (!notices.getUnknownFields().hasField(REPORT)) {
+            return Optional.empty();
+        }
+        try {
+            UnknownFieldSet message =
+                    UnknownFieldSet.parseFrom(lastBytes(notices.getUnknownFields(), REPORT));
+            List<Crash> crashes = new ArrayList<>();
+            for (UnknownFieldSet crash : parseAll(message, REPORT_CRASHES)) {
+                crashes.add(decodeCrash(crash));
+            }
+            List<Acquittal> acquittals =
+                    parseAll(message, REPORT_ACQUITTALS).stream()
+                            .map(CrashReportCodec::decodeAcquittal)
+                            .toList();
+            return Optional.of(new CrashReport(crashes, acquittals));
+        } catch (InvalidProtocolBufferException e) {
+            LogLine.warning("crash_report_unreadable").cause(e).write();
+            return Optional.empty();
+        }
+    }
+
+    private static ByteString encode(Crash crash) {
+        Field.Builder suspects = Field.newBuilder();
+        crash.suspects().forEach(parts -> suspects.addLengthDelimited(encode(parts)));
+        return UnknownFieldSet.newBuilder()
+                .addField(CRASH_SERVER, text(crash.engine().server()))
+                .addField(CRASH_BORN, number(crash.engine().bornMilliseconds()))
+                .addField(CRASH_AGE, number(crash.ageMilliseconds()))
+                .addField(CRASH_SUSPECTS, suspects.build())
+                .build()
+                .toByteString();
+    }
+
+    private static ByteString encode(Set<String> parts) {
+        Field.Builder field = Field.newBuilder();
+        parts.forEach(part -> field.addLengthDelimited(ByteString.copyFromUtf8(part)));
+        return UnknownFieldSet.newBuilder()
+                .addField(SUSPECT_PARTS, field.build())
+                .build()
+                .toByteString();
+    }
+
+    private static ByteString encode(Acquittal acquittal) {
+        return UnknownFieldSet.newBuilder()
+                .addField(ACQUITTAL_PART, text(acquittal.part()))
+                .addField(ACQUITTAL_AGE, number(acquittal.ageMilliseconds()))
+                .build()
+                .toByteString();
+    }
+
+    private static Crash decodeCrash(UnknownFieldSet crash) throws InvalidProtocolBufferException {
+        Set<Set<String>> suspects = new HashSet<>();
+        for (UnknownFieldSet parts : parseAll(crash, CRASH_SUSPECTS)) {
+            suspects.add(
+                    parts.getField(SUSPECT_PARTS).getLengthDelimitedList().stream()
+                            .map(ByteString::toStringUtf8)
+                            .collect(Collectors.toSet()));
+        }
+        return new Crash(
+                new Incarnation(lastText(crash, CRASH_SERVER), lastNumber(crash, CRASH_BORN)),
+                Math.max(0, lastNumber(crash, CRASH_AGE)),
+                suspects);
+    }
+
+    private static Acquittal decodeAcquittal(UnknownFieldSet acquittal) {
+        return new Acquittal(
+                lastText(acquittal, ACQUITTAL_PART),
+                Math.max(0, lastNumber(acquittal, ACQUITTAL_AGE)));
+    }
+
+    private static List<UnknownFieldSet> parseAll(UnknownFieldSet message, int field)
+            throws InvalidProtocolBufferException {
+        List<UnknownFieldSet> messages = new ArrayList<>();
+        for (ByteString bytes : message.getField(field).getLengthDelimitedList()) {
+            messages.add(UnknownFieldSet.parseFrom(bytes));
+        }
+        return messages;
+    }
+
+    private static Field text(String text) {
+        return bytes(ByteString.copyFromUtf8(text));
+    }
+
+    private static Field bytes(ByteString bytes) {
+        return Field.newBuilder().addLengthDelimited(bytes).build();
+    }
+
+    private static Field number(long number) {
+        return Field.newBuilder().addVarint(number).build();
+    }
+
+    private static String lastText(UnknownFieldSet message, int field) {
+        return lastBytes(message, field).toStringUtf8();
+    }
+
+    private static ByteString lastBytes(UnknownFieldSet message, int field) {
+        List<ByteString> values = message.getField(field).getLengthDelimitedList();
+        return values.isEmpty() ? ByteString.EMPTY : values.getLast();
+    }
+
+    private static long lastNumber(UnknownFieldSet message, int field) {
+        List<Long> values = message.getField(field).getVarintList();
+        return values.isEmpty() ? 0 : values.getLast();
+    }
+}
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -97,6 +97,20 @@
                                 .ifPresent(connection -> send(connection, notice)));
     }
 
+    /** Sends notices to all members that can be reached; some may be frozen. */
+    public void tellAll(EngineNotices notices) {
+        mControlThread.execute(
+                () ->
+                        mUpdates.keySet().stream()
+                                .filter(one -> one.isOpen() && one.isWritable())
+                                .forEach(
+                                        one ->
+                                                one.send(
+                                                        0,
+                                                        Frame.newBuilder()
+                                                                .setEngineNotices(notices))));
+    }
+
     private static void send(WireConnection connection, EngineNotice notice) {
         connection.send(
                 0,
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -29,6 +29,7 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPendingTokensRemoved;
+    private boolean mResponded;
     private boolean mDelimited;
     private boolean mReleased;
 
@@ -62,6 +63,13 @@
         return mDestination.scope();
     }
 
+    /** Returns whether a part of the prompt may have crashed another engine before. */
+    boolean isSuspectElsewhere() {
+        return mPrompt.filter(
+                        prompt -> mGateway.partQuarantine().isSuspectElsewhere(prompt, mServer))
+                .isPresent();
+    }
+
     /** Returns the model that the request asks for; empty if it has no prompt. */
     Optional<String> model() {
         return mPrompt.map(Prompt::model);
@@ -185,7 +193,23 @@
     @Override
     public void onFailure(String reason) {
         if (mForwarder.isCurrent(this)) {
-            mForwarder.runMover().streamEnded(() -> mForwarder.attemptFailed(this, reason, false));
+            mForwarder.runMover().streamEnded(() -> brokenOff(reason));
+        }
+    }
+
+    /** Handles a response that ended early, or never began. */
+    private void brokenOff(String reason) {
+        if (!mResponded) {
+            mPrompt.ifPresent(prompt -> mGateway.partQuarantine().recordFailure(prompt, mServer));
+        }
+        mForwarder.attemptFailed(this, reason, false);
+    }
+
+    /** Handles the first event of a stream or another complete response. */
+    private void recordResponse() {
+        if (!mResponded) {
+            mResponded = true;
+            mPrompt.ifPresent(prompt -> mGateway.partQuarantine().recordResponse(prompt));
         }
     }
 
@@ -195,9 +219,9 @@
                 .streamEnded(
                         () -> {
                             if (mRelay.get().hasIncompleteEvent()) {
-                                mForwarder.attemptFailed(this, "stream_ends_inside_event", false);
+                                brokenOff("stream_ends_inside_event");
                             } else if (!mRelay.get().isStarted() && !mDelimited) {
-                                mForwarder.attemptFailed(this, "stream_ends_without_event", false);
+                                brokenOff("stream_ends_without_event");
                             } else {
                                 mServer.recordSuccess();
                                 mForwarder.streamCompleted(this);
@@ -212,6 +236,7 @@
             mServer.recordFailureResponse();
         } else {
             mServer.recordSuccess();
+            recordResponse();
         }
         if (isServerFailure && mForwarder.retryServerError(this, status)) {
             return;
@@ -224,6 +249,9 @@
             mForwarder.attemptFailed(this, "overlong_event", true);
             return;
         }
+        if (relay.isStarted()) {
+            recordResponse();
+        }
         relay.changedWeights().ifPresent(text -> mForwarder.recordWeights(mServer, text));
         if (!relay.isCallerWritable()) {
             setReading(false);
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -169,7 +169,8 @@
                         && now - mLeavingSince > LEAVING_GRACE_MILLISECONDS);
     }
 
-    private boolean isUnreachable(long now) {
+    /** Returns whether the engine does not answer its own agent. */
+    boolean isUnreachable(long now) {
         return notice(now).filter(EngineNotice::getUnreachable).isPresent();
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.wire.WireContext;
@@ -34,6 +35,7 @@
     private final PromptPlacement mPromptPlacement;
     private final BufferedResponses mBufferedResponses = new BufferedResponses();
     private final GatewayMetrics mMetrics;
+    private final PartQuarantine mPartQuarantine;
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
     private final Set<CallerConnection> mCallers = new LinkedHashSet<>();
     private final List<Runnable> mWhenConfigured = new ArrayList<>();
@@ -52,7 +54,8 @@
             EventLoop loop,
             Clock clock,
             RandomGenerator random,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Consumer<EngineNotices> control) {
         mSettings = settings;
         mHeaderNames = headerNames;
         mPromptReader = promptReader;
@@ -68,6 +71,8 @@
                 new PromptPlacement(
                         mDirectory, selector, mWeightsHistory, mCacheLookup, random, clock);
         mMetrics = new GatewayMetrics(metrics);
+        mPartQuarantine =
+                new PartQuarantine(mDirectory, new ConnectionProbe(loop), control, mMetrics, clock);
     }
 
     /** Applies the routing, weights and servers that the control plane sent. */
@@ -85,12 +90,15 @@
         mGatewayCount = state.entries();
         mDirectory.setGatewayCount(state.entries());
         mDirectory.update(state.servers(), now());
+        mPartQuarantine.checkServers();
     }
 
-    /** Applies the notices of agents about their engines. */
+    /** Applies the notices of agents about their engines, and reports of engine crashes. */
     void updateEngines(EngineNotices notices) {
         notices.getEnginesList().forEach(notice -> mDirectory.updateNotice(notice, now()));
         mCacheLookup.setAgents(mDirectory.agentAddresses(now()));
+        mPartQuarantine.checkServers();
+        mPartQuarantine.receive(notices);
     }
 
     /** Schedules a task to run once the first configuration is in force. */
@@ -159,6 +167,10 @@
         return mPromptPlacement;
     }
 
+    PartQuarantine partQuarantine() {
+        return mPartQuarantine;
+    }
+
     BufferedResponses bufferedResponses() {
         return mBufferedResponses;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -105,7 +105,8 @@
                         loop,
                         clock,
                         new SplittableRandom(),
-                        metrics);
+                        metrics,
+                        this::tellControl);
         mFollower =
                 new FleetFollower(wire, mControlThread, true, this::update, this::updateEngines);
         mServerChannel = listen();
@@ -182,6 +183,10 @@
                 () -> mGateway.updateEngines(notices), mEventLoops.next());
     }
 
+    private void tellControl(EngineNotices notices) {
+        mFollower.tellAll(notices);
+    }
+
     /** Replaces the addresses of the control members to follow. */
     public void follow(Collection<String> control) {
         mFollower.follow(control);
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -112,10 +112,35 @@
         startAttempt();
     }
 
+    /**
+     * Ends the request if a part of its prompt is quarantined, with a status that does not invite
+     * callers to retry.
+     *
+     * @return whether it did
+     */
+    private boolean refuseQuarantined() {
+        Optional<String> part =
+                admitted().prompt().flatMap(mGateway.partQuarantine()::quarantinedPart);
+        if (part.isEmpty()) {
+            return false;
+        }
+        mLog.event("part_refused", "part", part.get());
+        mGateway.metrics().incrementCounter("quarantine_refusals");
+        if (mRelay.filter(StreamRelay::isStarted).isPresent()) {
+            fail("part_quarantined");
+        } else {
+            reject(HttpResponseStatus.BAD_GATEWAY, "part_quarantined");
+        }
+        return true;
+    }
+
     private void startAttempt() {
         if (mDone) {
             return;
         }
+        if (refuseQuarantined()) {
+            return;
+        }
         AdmittedRequest admitted = admitted();
         if (admitted.isForEngine()) {
             mGateway.promptPlacement().choose(admitted.placementRequest(mExcluded), this::send);
@@ -136,6 +161,9 @@
             fail("no_server");
             return;
         }
+        if (refuseQuarantined()) {
+            return;
+        }
         mRunMover.clearResumption();
         mAttemptCount++;
         admitted()
@@ -147,6 +175,9 @@
 
     /** Sends the request, or the request that resumes it, to one server. */
     void sendTo(ServerPlacement.Destination destination) {
+        if (refuseQuarantined()) {
+            return;
+        }
         mExcluded.add(destination.server());
         Optional<Prompt> prompt = admitted().prompt();
         Attempt attempt = new Attempt(this, mGateway, destination, prompt);
@@ -282,7 +313,7 @@
         }
         attempt.server().recordFailure(mGateway.now());
         mLog.serverEvent("attempt_failed", attempt.server(), "reason", reason);
-        if (isRetryable()) {
+        if (isRetryable() && !attempt.isSuspectElsewhere()) {
             retryOrFail(reason);
         } else {
             fail(reason);
