Clear a part only by a successful response

An engine may refuse a request with a status of its own, for instance 400, before it begins to respond to the prompt. The gateway took that for proof that the parts of the prompt don't crash engines, so that a part that did was never quarantined.

CrashingPartTest.anErrorResponseDoesNotClearAPart covers it.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -205,7 +205,7 @@
         mForwarder.attemptFailed(this, reason, false);
     }
 
-    /** Handles the first event of a stream or another complete response. */
+    /** Records the first event of a stream or a complete response of another kind. */
     private void recordResponse() {
         if (!mResponded) {
             mResponded = true;
@@ -236,6 +236,8 @@
             mServer.recordFailureResponse();
         } else {
             mServer.recordSuccess();
+        }
+        if (isSuccess()) {
             recordResponse();
         }
         if (isServerFailure && mForwarder.retryServerError(this, status)) {
--- a/gateway/src/test/java/org/ibisstand/gateway/CrashingPartTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/CrashingPartTest.java
@@ -21,6 +21,7 @@
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.EnumSource.Mode;
@@ -43,6 +44,7 @@
     private final long[] mBorn = new long[ENGINES];
     private final List<Integer> mCrashed = new ArrayList<>();
     private final AtomicInteger mCrashes = new AtomicInteger();
+    private volatile Optional<Integer> mErrorStatus = Optional.empty();
     private final GatewayDaemon mGateway =
             GatewayDaemon.start(
                     Samples.SETTINGS,
@@ -104,12 +106,33 @@
         assertThat(mCrashes.get()).isEqualTo(crashesBefore + 1);
     }
 
+    /** An engine that refuses a request has not begun to respond to its prompt. */
+    @Test
+    void anErrorResponseDoesNotClearAPart() throws IOException {
+        update(Repetition.RESUMABLE_STREAM);
+        mErrorStatus = Optional.of(400);
+        assertThat(send("shared,crashing,own")).startsWith("HTTP/1.1 400");
+        mErrorStatus = Optional.empty();
+
+        for (int request = 0; request < CRASHING_REQUESTS; request++) {
+            send("shared,crashing,own-" + request);
+            mClock.advance(PAUSE);
+            restartCrashedEngines();
+            update(Repetition.RESUMABLE_STREAM);
+        }
+
+        assertThat(mCrashes.get()).isAtMost(MAXIMUM_CRASHES);
+    }
+
     private void startEngine(int index) {
         mBorn[index] = mClock.millis();
         mEngines[index] =
                 ScriptedServer.start(
                         (request, identifier, connection) -> {
-                            if (ScriptedServer.header(request, PromptHeader.NAME)
+                            if (mErrorStatus.isPresent()) {
+                                ScriptedServer.completeResponse(mErrorStatus.get(), "", "")
+                                        .respond(request, identifier, connection);
+                            } else if (ScriptedServer.header(request, PromptHeader.NAME)
                                     .contains("crashing,")) {
                                 crash(index, connection);
                             } else {
