Count a crash only for requests that were sent after the crash before

Engines whose power fails together may be noticed one after the other: their connections break as the machines come back, up to seconds apart. A part that waited at three of them would have been quarantined, since crashes counted as separate from 500 ms on.

Reports now say when each request was sent.

--- a/fleet/src/main/java/org/ibisstand/fleet/CrashEvidence.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashEvidence.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +14,7 @@
 import org.ibisstand.fleet.CrashReport.Acquittal;
 import org.ibisstand.fleet.CrashReport.Crash;
 import org.ibisstand.fleet.CrashReport.Incarnation;
+import org.ibisstand.fleet.CrashReport.Suspect;
 
 /**
  * Merges the reports of a fleet about parts of prompts that crash engines, and knows which parts
@@ -45,17 +45,44 @@
     private Map<String, Set<String>> mQuarantined = Map.of();
     private long mNextExpiry = Long.MAX_VALUE;
 
-    /** When an engine crashed and which requests may have caused it. */
+    /** When an engine crashed, and when the requests that may have caused it were sent. */
     private static final class CrashEntry {
-        private Set<Set<String>> mSuspects = new LinkedHashSet<>();
+        private final Map<Set<String>, Long> mSuspects = new LinkedHashMap<>();
         private long mCrashedAt;
 
         CrashEntry(long crashedAt) {
             mCrashedAt = crashedAt;
         }
 
-        boolean hasRoomFor(Set<String> parts) {
-            int partCount = mSuspects.stream().mapToInt(Set::size).sum();
+        /** Adds a request; returns whether it is new or was sent notably later. */
+        boolean add(Set<String> parts, long sentAt) {
+            Long knownSentAt = mSuspects.get(parts);
+            boolean isNew =
+                    knownSentAt == null
+                            ? hasRoomFor(parts)
+                            : sentAt >= knownSentAt + CrashSuspect.MOMENT_MILLISECONDS;
+            if (isNew) {
+                mSuspects.put(parts, sentAt);
+            }
+            return isNew;
+        }
+
+        /** Removes acquitted parts from all requests. */
+        void removeParts(Set<String> acquitted) {
+            Map<Set<String>, Long> previous = Map.copyOf(mSuspects);
+            mSuspects.clear();
+            previous.forEach(
+                    (parts, sentAt) -> {
+                        Set<String> remaining = new HashSet<>(parts);
+                        remaining.removeAll(acquitted);
+                        if (!remaining.isEmpty()) {
+                            mSuspects.merge(remaining, sentAt, Math::max);
+                        }
+                    });
+        }
+
+        private boolean hasRoomFor(Set<String> parts) {
+            int partCount = mSuspects.keySet().stream().mapToInt(Set::size).sum();
             return mSuspects.size() < MAXIMUM_SUSPECTS
                     && partCount + parts.size() <= MAXIMUM_SUSPECT_PARTS;
         }
@@ -88,8 +115,12 @@
         expire(now);
         List<Crash> crashes = new ArrayList<>();
         mCrashes.forEach(
-                (engine, entry) ->
-                        crashes.add(new Crash(engine, now - entry.mCrashedAt, entry.mSuspects)));
+                (engine, entry) -> {
+                    Set<Suspect> suspects = new HashSet<>();
+                    entry.mSuspects.forEach(
+                            (parts, sentAt) -> suspects.add(new Suspect(parts, now - sentAt)));
+                    crashes.add(new Crash(engine, now - entry.mCrashedAt, suspects));
+                });
         List<Acquittal> acquittals = new ArrayList<>();
         mAcquittedAt.forEach(
                 (part, acquittedAt) -> acquittals.add(new Acquittal(part, now - acquittedAt)));
@@ -134,7 +165,7 @@
         return mSuspects.contains(part)
                 && mCrashes.entrySet().stream()
                         .filter(crash -> !crash.getKey().equals(engine))
-                        .flatMap(crash -> crash.getValue().mSuspects.stream())
+                        .flatMap(crash -> crash.getValue().mSuspects.keySet().stream())
                         .anyMatch(parts -> parts.contains(part));
     }
 
@@ -149,7 +180,7 @@
     }
 
     private boolean mergeCrash(Crash crash, long now) {
-        Set<Set<String>> suspects = withoutAcquitted(crash.suspects());
+        Set<Suspect> suspects = withoutAcquitted(crash.suspects());
         if (suspects.isEmpty() || crash.ageMilliseconds() >= RETENTION_MILLISECONDS) {
             return false;
         }
@@ -158,24 +189,24 @@
                 mCrashes.computeIfAbsent(crash.engine(), engine -> new CrashEntry(crashedAt));
         entry.mCrashedAt = Math.min(entry.mCrashedAt, crashedAt);
         boolean hasNews = false;
-        for (Set<String> parts : suspects) {
-            if (entry.hasRoomFor(parts)) {
-                hasNews |= entry.mSuspects.add(parts);
-            }
+        for (Suspect suspect : suspects) {
+            hasNews |= entry.add(suspect.parts(), now - suspect.sentAgeMilliseconds());
         }
         removeEldest(mCrashes, MAXIMUM_CRASHES);
         return hasNews;
     }
 
-    private Set<Set<String>> withoutAcquitted(Set<Set<String>> suspects) {
+    private Set<Suspect> withoutAcquitted(Set<Suspect> suspects) {
         return suspects.stream()
                 .map(
-                        parts ->
-                                parts.stream()
-                                        .filter(part -> !mAcquittedAt.containsKey(part))
-                                        .collect(Collectors.toSet()))
-                .filter(parts -> !parts.isEmpty())
-                .collect(Collectors.toCollection(LinkedHashSet::new));
+                        suspect ->
+                                new Suspect(
+                                        suspect.parts().stream()
+                                                .filter(part -> !mAcquittedAt.containsKey(part))
+                                                .collect(Collectors.toSet()),
+                                        suspect.sentAgeMilliseconds()))
+                .filter(suspect -> !suspect.parts().isEmpty())
+                .collect(Collectors.toSet());
     }
 
     private static <K, V> void removeEldest(Map<K, V> entries, int maximumSize) {
@@ -197,17 +228,17 @@
 
     /** Drops what acquittals have settled, and decides anew which parts are quarantined. */
     private void update() {
-        mCrashes.values().forEach(entry -> entry.mSuspects = withoutAcquitted(entry.mSuspects));
+        mCrashes.values().forEach(entry -> entry.removeParts(mAcquittedAt.keySet()));
         mCrashes.values().removeIf(entry -> entry.mSuspects.isEmpty());
         mNextExpiry = Long.MAX_VALUE;
         Map<String, CrashSuspect> suspects = new HashMap<>();
         for (CrashEntry entry : mCrashes.values()) {
-            for (Set<String> parts : entry.mSuspects) {
-                for (String part : parts) {
-                    suspects.computeIfAbsent(part, CrashSuspect::new)
-                            .addCrash(entry.mCrashedAt, parts);
-                }
-            }
+            entry.mSuspects.forEach(
+                    (parts, sentAt) ->
+                            parts.forEach(
+                                    part ->
+                                            suspects.computeIfAbsent(part, CrashSuspect::new)
+                                                    .addRequest(entry.mCrashedAt, sentAt, parts)));
             mNextExpiry = Math.min(mNextExpiry, entry.mCrashedAt + RETENTION_MILLISECONDS);
         }
         for (long acquittedAt : mAcquittedAt.values()) {
--- a/fleet/src/main/java/org/ibisstand/fleet/CrashReport.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashReport.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * What one process knows of engine crashes and of the parts of prompts that may have caused them.
@@ -39,13 +38,25 @@
      *
      * @param engine the incarnation that ended
      * @param ageMilliseconds how long ago the crash was detected
-     * @param suspects for each request that waited for a first event at the engine, the parts of
-     *     its prompt that may have caused the crash
+     * @param suspects the requests that waited for a first event at the engine
      */
-    public record Crash(Incarnation engine, long ageMilliseconds, Set<Set<String>> suspects) {
-        /** Copies the sets, which makes the crash immutable. */
+    public record Crash(Incarnation engine, long ageMilliseconds, Set<Suspect> suspects) {
+        /** Copies the set, which makes the crash immutable. */
         public Crash {
-            suspects = suspects.stream().map(Set::copyOf).collect(Collectors.toUnmodifiableSet());
+            suspects = Set.copyOf(suspects);
+        }
+    }
+
+    /**
+     * A request that may have caused a crash.
+     *
+     * @param parts the parts of its prompt of which any may be the cause
+     * @param sentAgeMilliseconds how long ago it was sent to the engine
+     */
+    public record Suspect(Set<String> parts, long sentAgeMilliseconds) {
+        /** Copies the set, which makes the suspect immutable. */
+        public Suspect {
+            parts = Set.copyOf(parts);
         }
     }
 
--- a/fleet/src/main/java/org/ibisstand/fleet/CrashReportCodec.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashReportCodec.java
@@ -14,6 +14,7 @@
 import org.ibisstand.fleet.CrashReport.Acquittal;
 import org.ibisstand.fleet.CrashReport.Crash;
 import org.ibisstand.fleet.CrashReport.Incarnation;
+import org.ibisstand.fleet.CrashReport.Suspect;
 import org.ibisstand.wire.message.EngineNotices;
 
 /**
@@ -32,6 +33,7 @@
     private static final int CRASH_SUSPECTS = 4;
 
     private static final int SUSPECT_PARTS = 1;
+    private static final int SUSPECT_SENT_AGE = 2;
 
     private static final int ACQUITTAL_PART = 1;
     private static final int ACQUITTAL_AGE = 2;
@@ -81,7 +83,7 @@
 
     private static ByteString encode(Crash crash) {
         Field.Builder suspects = Field.newBuilder();
-        crash.suspects().forEach(parts -> suspects.addLengthDelimited(encode(parts)));
+        crash.suspects().forEach(suspect -> suspects.addLengthDelimited(encode(suspect)));
         return UnknownFieldSet.newBuilder()
                 .addField(CRASH_SERVER, text(crash.engine().server()))
                 .addField(CRASH_BORN, number(crash.engine().bornMilliseconds()))
@@ -91,11 +93,12 @@
                 .toByteString();
     }
 
-    private static ByteString encode(Set<String> parts) {
-        Field.Builder field = Field.newBuilder();
-        parts.forEach(part -> field.addLengthDelimited(ByteString.copyFromUtf8(part)));
+    private static ByteString encode(Suspect suspect) {
+        Field.Builder parts = Field.newBuilder();
+        suspect.parts().forEach(part -> parts.addLengthDelimited(ByteString.copyFromUtf8(part)));
         return UnknownFieldSet.newBuilder()
-                .addField(SUSPECT_PARTS, field.build())
+                .addField(SUSPECT_PARTS, parts.build())
+                .addField(SUSPECT_SENT_AGE, number(suspect.sentAgeMilliseconds()))
                 .build()
                 .toByteString();
     }
@@ -109,12 +112,14 @@
     }
 
     private static Crash decodeCrash(UnknownFieldSet crash) throws InvalidProtocolBufferException {
-        Set<Set<String>> suspects = new HashSet<>();
-        for (UnknownFieldSet parts : parseAll(crash, CRASH_SUSPECTS)) {
+        Set<Suspect> suspects = new HashSet<>();
+        for (UnknownFieldSet suspect : parseAll(crash, CRASH_SUSPECTS)) {
             suspects.add(
-                    parts.getField(SUSPECT_PARTS).getLengthDelimitedList().stream()
-                            .map(ByteString::toStringUtf8)
-                            .collect(Collectors.toSet()));
+                    new Suspect(
+                            suspect.getField(SUSPECT_PARTS).getLengthDelimitedList().stream()
+                                    .map(ByteString::toStringUtf8)
+                                    .collect(Collectors.toSet()),
+                            Math.max(0, lastNumber(suspect, SUSPECT_SENT_AGE))));
         }
         return new Crash(
                 new Incarnation(lastText(crash, CRASH_SERVER), lastNumber(crash, CRASH_BORN)),
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -29,6 +29,7 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPendingTokensRemoved;
+    private long mSentAt;
     private boolean mResponded;
     private boolean mDelimited;
     private boolean mReleased;
@@ -46,7 +47,8 @@
     }
 
     void send(FullHttpRequest request, String identifier, boolean isRetryable) {
-        mServer.attemptSent(this, promptTokens(), mGateway.now());
+        mSentAt = mGateway.now();
+        mServer.attemptSent(this, promptTokens(), mSentAt);
         long maximumIdle = isRetryable ? Long.MAX_VALUE : NON_RETRYABLE_MAXIMUM_IDLE_MILLISECONDS;
         mExchange =
                 Optional.of(
@@ -200,7 +202,8 @@
     /** Handles a response that ended early, or never began. */
     private void brokenOff(String reason) {
         if (!mResponded) {
-            mPrompt.ifPresent(prompt -> mGateway.partQuarantine().recordFailure(prompt, mServer));
+            mPrompt.ifPresent(
+                    prompt -> mGateway.partQuarantine().recordFailure(prompt, mServer, mSentAt));
         }
         mForwarder.attemptFailed(this, reason, false);
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/CrashSuspects.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CrashSuspects.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.ibisstand.fleet.CrashReport.Crash;
 import org.ibisstand.fleet.CrashReport.Incarnation;
+import org.ibisstand.fleet.CrashReport.Suspect;
 import org.ibisstand.settings.Address;
 
 /**
@@ -40,7 +41,7 @@
     private static final class Failures {
         private final Address mAddress;
         private final long mFirstFailedAt;
-        private final Set<Set<String>> mRequests = new LinkedHashSet<>();
+        private final Map<Set<String>, Long> mSentTimes = new LinkedHashMap<>();
         private boolean mCrashed;
 
         Failures(Address address, long firstFailedAt) {
@@ -67,18 +68,25 @@
     /**
      * Records a request that failed before its first event.
      *
+     * @param engine the engine that it was sent to
+     * @param address the address of the engine
+     * @param parts the parts of its prompt that requests may share
+     * @param sentAt when it was sent
+     * @param now the current time
      * @return whether its engine has to be checked for a crash
      */
-    boolean recordFailure(Incarnation engine, Address address, Collection<String> parts, long now) {
+    boolean recordFailure(
+            Incarnation engine, Address address, Collection<String> parts, long sentAt, long now) {
         expire(now);
         Set<String> suspects = withoutAcquitted(parts);
         if (suspects.isEmpty()) {
             return false;
         }
         Failures failures = mFailures.computeIfAbsent(engine, key -> new Failures(address, now));
-        boolean isFirst = failures.mRequests.isEmpty();
-        if (failures.mRequests.size() < MAXIMUM_REQUESTS) {
-            failures.mRequests.add(suspects);
+        boolean isFirst = failures.mSentTimes.isEmpty();
+        if (failures.mSentTimes.size() < MAXIMUM_REQUESTS
+                || failures.mSentTimes.containsKey(suspects)) {
+            failures.mSentTimes.merge(suspects, sentAt, Math::max);
         }
         if (mFailures.size() > MAXIMUM_ENGINES) {
             mFailures.remove(mFailures.keySet().iterator().next());
@@ -125,13 +133,21 @@
                                 new Crash(
                                         engine,
                                         now - failures.mFirstFailedAt,
-                                        failures.mRequests.stream()
-                                                .map(this::withoutAcquitted)
-                                                .filter(parts -> !parts.isEmpty())
-                                                .collect(Collectors.toSet())))
+                                        suspects(failures, now)))
                 .filter(crash -> !crash.suspects().isEmpty());
     }
 
+    private Set<Suspect> suspects(Failures failures, long now) {
+        return failures.mSentTimes.entrySet().stream()
+                .map(
+                        request ->
+                                new Suspect(
+                                        withoutAcquitted(request.getKey()),
+                                        now - request.getValue()))
+                .filter(suspect -> !suspect.parts().isEmpty())
+                .collect(Collectors.toSet());
+    }
+
     private Set<String> withoutAcquitted(Collection<String> parts) {
         return parts.stream().filter(part -> !isAcquitted(part)).collect(Collectors.toSet());
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/PartQuarantine.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PartQuarantine.java
@@ -14,6 +14,7 @@
 import org.ibisstand.fleet.CrashReport.Acquittal;
 import org.ibisstand.fleet.CrashReport.Crash;
 import org.ibisstand.fleet.CrashReport.Incarnation;
+import org.ibisstand.fleet.CrashReport.Suspect;
 import org.ibisstand.fleet.CrashReportCodec;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotices;
@@ -74,12 +75,13 @@
     }
 
     /** Records a request that failed before its first event. */
-    void recordFailure(Prompt prompt, BackendServer server) {
+    void recordFailure(Prompt prompt, BackendServer server, long sentAt) {
         Incarnation engine = incarnation(server);
         if (!server.acceptsRequests()) {
             return;
         }
-        if (mSuspects.recordFailure(engine, server.address(), parts(prompt), mClock.millis())) {
+        if (mSuspects.recordFailure(
+                engine, server.address(), parts(prompt), sentAt, mClock.millis())) {
             mProbe.check(server.address(), result -> probed(engine, result));
         }
         reportCrash(engine);
@@ -151,7 +153,7 @@
             LogLine.warning("parts_suspected")
                     .with("server", engine.server())
                     .with("born", engine.bornMilliseconds())
-                    .with("parts", crash.get().suspects())
+                    .with("requests", crash.get().suspects().stream().map(Suspect::parts).toList())
                     .write();
             mMetrics.incrementCounter("crashes_reported");
             mControl.accept(CrashReportCodec.encode(report));
