--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -29,6 +29,9 @@
     private Optional<StreamRelay> mRelay = Optional.empty();
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPendingTokensRemoved;
+    private long mSentAt;
+    private boolean mResponded;
+    private boolean mDelimited;
     private boolean mReleased;
 
     Attempt(
@@ -44,7 +47,8 @@
     }
 
     void send(FullHttpRequest request, String identifier, boolean isRetryable) {
-        mServer.attemptSent(this, promptTokens(), mGateway.now());
+        mSentAt = mGateway.now();
+        mServer.attemptSent(this, promptTokens(), mSentAt);
         long maximumIdle = isRetryable ? Long.MAX_VALUE : NON_RETRYABLE_MAXIMUM_IDLE_MILLISECONDS;
         mExchange =
                 Optional.of(
@@ -61,6 +65,13 @@
         return mDestination.scope();
     }
 
+    /** Returns whether a part of the prompt may have crashed another engine before. */
+    boolean isSuspectElsewhere() {
+        return mPrompt.filter(
+                        prompt -> mGateway.partQuarantine().isSuspectElsewhere(prompt, mServer))
+                .isPresent();
+    }
+
     /** Returns the model that the request asks for; empty if it has no prompt. */
     Optional<String> model() {
         return mPrompt.map(Prompt::model);
@@ -174,6 +185,7 @@
         if (wasNotExecuted) {
             mForwarder.rejectedByServer(this, head.status().code());
         } else if (mRelay.isPresent()) {
+            mDelimited = delimited;
             finishStream();
         } else {
             finishBuffered(head);
@@ -183,7 +195,24 @@
     @Override
     public void onFailure(String reason) {
         if (mForwarder.isCurrent(this)) {
-            mForwarder.runMover().streamEnded(() -> mForwarder.attemptFailed(this, reason, false));
+            mForwarder.runMover().streamEnded(() -> brokenOff(reason));
+        }
+    }
+
+    /** Handles a response that ended early, or never began. */
+    private void brokenOff(String reason) {
+        if (!mResponded) {
+            mPrompt.ifPresent(
+                    prompt -> mGateway.partQuarantine().recordFailure(prompt, mServer, mSentAt));
+        }
+        mForwarder.attemptFailed(this, reason, false);
+    }
+
+    /** Records the first event of a stream or a complete response of another kind. */
+    private void recordResponse() {
+        if (!mResponded) {
+            mResponded = true;
+            mPrompt.ifPresent(prompt -> mGateway.partQuarantine().recordResponse(prompt));
         }
     }
 
@@ -193,7 +222,9 @@
                 .streamEnded(
                         () -> {
                             if (mRelay.get().hasIncompleteEvent()) {
-                                mForwarder.attemptFailed(this, "stream_ends_inside_event", false);
+                                brokenOff("stream_ends_inside_event");
+                            } else if (!mRelay.get().isStarted() && !mDelimited) {
+                                brokenOff("stream_ends_without_event");
                             } else {
                                 mServer.recordSuccess();
                                 mForwarder.streamCompleted(this);
@@ -209,6 +240,9 @@
         } else {
             mServer.recordSuccess();
         }
+        if (isSuccess()) {
+            recordResponse();
+        }
         if (isServerFailure && mForwarder.retryServerError(this, status)) {
             return;
         }
@@ -220,6 +254,9 @@
             mForwarder.attemptFailed(this, "overlong_event", true);
             return;
         }
+        if (relay.isStarted()) {
+            recordResponse();
+        }
         relay.changedWeights().ifPresent(text -> mForwarder.recordWeights(mServer, text));
         if (!relay.isCallerWritable()) {
             setReading(false);
