Recompute the quarantine only when suspects change

At the bounds a merge cost a gateway tens of milliseconds.

Change: a merge recomputes when a crash is new or a suspect is cleared.

--- a/fleet/src/main/java/org/ibisstand/fleet/CrashEvidence.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashEvidence.java
@@ -97,17 +97,20 @@
      */
     public boolean merge(CrashReport report, long now) {
         expire(now);
-        boolean hasNews = false;
+        boolean hasNewAcquittals = false;
+        boolean areSuspectsChanged = false;
         for (Acquittal acquittal : report.acquittals()) {
-            hasNews |= mergeAcquittal(acquittal, now);
+            boolean isNew = mergeAcquittal(acquittal, now);
+            hasNewAcquittals |= isNew;
+            areSuspectsChanged |= isNew && mSuspects.contains(acquittal.part());
         }
         for (Crash crash : report.crashes()) {
-            hasNews |= mergeCrash(crash, now);
+            areSuspectsChanged |= mergeCrash(crash, now);
         }
-        if (hasNews) {
+        if (areSuspectsChanged) {
             update();
         }
-        return hasNews;
+        return hasNewAcquittals || areSuspectsChanged;
     }
 
     /** Returns all that is known. */
@@ -174,7 +177,9 @@
             return false;
         }
         boolean isNew = !mAcquittedAt.containsKey(acquittal.part());
-        mAcquittedAt.merge(acquittal.part(), now - acquittal.ageMilliseconds(), Math::max);
+        long acquittedAt = now - acquittal.ageMilliseconds();
+        mAcquittedAt.merge(acquittal.part(), acquittedAt, Math::max);
+        mNextExpiry = Math.min(mNextExpiry, acquittedAt + RETENTION_MILLISECONDS);
         removeEldest(mAcquittedAt, MAXIMUM_ACQUITTALS);
         return isNew;
     }
