--- a/agent/src/main/java/org/ibisstand/agent/LoadSlotPolicy.java
+++ b/agent/src/main/java/org/ibisstand/agent/LoadSlotPolicy.java
@@ -11,17 +11,16 @@
  * <p>A new version is announced for all engines at once, sometimes before the previous one is
  * loaded everywhere. Parallel loads slow each other down and a loading engine serves no requests,
  * so a quarter of the engines loads at a time, those with the oldest weights first. Of the last
- * ones, half load at a time: their runs move to the other half, so that in the end one engine has
- * all runs of the older weights that have not finished. All agents have the same server list, so
- * they compute the same order without exchanging messages.
+ * ones, half load at a time, so that their runs can move to the other half. All agents have the
+ * same server list, so they compute the same order without exchanging messages.
  */
 final class LoadSlotPolicy {
     /** One group loads while the other three quarters of the engines serve requests. */
     private static final int GROUP_COUNT = 4;
 
     /**
-     * How long a group may delay the next one: twice the time of a load and of the drain before it.
-     * An engine that takes longer no longer holds a slot.
+     * How long a group may delay the next one: twice the time of a load and of a drain whose runs
+     * can move. An engine that takes longer no longer holds a slot.
      */
     private static final Duration GROUP_TIMEOUT = Duration.ofMillis(1_800);
 
