Run no prompt of former weights in an agent's engine

What callers could see: on the path through agents, a prompt that an entry salted for one weights version could run after its engine had loaded the next, or be in progress during the load. Its KV cache then lay under the salt of the older version, made by the newer one, for any later prompt of that salt.

Cause: agents did not read the weights version of a request, and sent a load order on while their own runs of the model were in progress.

Change: LoadedWeights keeps what the engine is known to serve. A prompt of another version, or that comes between a load order and its end, is answered as not run (NO_AGENT_AVAILABLE), so that the entry may place it elsewhere; so are those that wait when an order comes. The order is sent to the engine once the agent's runs of the model have ended. If that takes over 4 s the agent refuses the order, the queue opens again with the older weights, and control repeats the order after its pause. A load that is refused with 4xx leaves the weights as they were. After another failure the engine may have either version: the agent announces an empty version, which control replaces by a repeated order, and accepts no prompt of the model until one succeeds.

A run of many minutes now delays the load of its engine that long, and an engine whose load failed without a clear answer no longer serves the older version.

HttpEngineLoaderTest has the new type of the future, no other change.

--- a/agent/src/main/java/org/ibisstand/agent/AgentComponents.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentComponents.java
@@ -1,6 +1,8 @@
 package org.ibisstand.agent;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.ibisstand.base.AgentIdentifier;
 import org.ibisstand.routing.CacheIndex;
 import org.ibisstand.routing.QueuePolicy;
@@ -24,6 +26,9 @@
         CacheIndex index,
         FencedOrderExecutor orders,
         AgentHandler handler) {
+    /** With the time of a load at most what control waits for the reply to an order. */
+    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofSeconds(4);
+
     private static final Duration MODEL_RESPONSE_TIMEOUT = Duration.ofMinutes(30);
 
     static AgentComponents create(
@@ -35,6 +40,7 @@
         AgentSettings settings = runtime.settings();
         AgentIdentifier agent = new AgentIdentifier(settings.agent());
         CacheIndex index = CacheIndex.create(runtime.clock());
+        LoadedWeights weights = new LoadedWeights(weightsVersions(settings));
         RequestExecutor executor =
                 new RequestExecutor(
                         agent,
@@ -44,6 +50,7 @@
                         WorkQueue.create(queuePolicy(settings), index, runtime.clock()),
                         backend,
                         health,
+                        weights,
                         new ControlOutcomeRecorder(control, agent, runtime.boot()),
                         limits(settings),
                         new ExecutionMetrics(runtime.metrics()));
@@ -56,11 +63,30 @@
         EngineLoader loader =
                 new HttpEngineLoader(backend.pooledClient(), settings.backend().baseUrl());
         FencedOrderExecutor orders =
-                new FencedOrderExecutor(runtime.boot(), loader, loadedModels::notifyLoaded);
+                new FencedOrderExecutor(
+                        runtime.boot(),
+                        runtime.controlThread(),
+                        loader,
+                        weights,
+                        model -> executor.drain(model, MAXIMUM_DRAIN_TIME),
+                        loadedModels::notifyLoaded);
         AgentHandler handler = new AgentHandler(runtime, executor, streams, orders);
         return new AgentComponents(executor, streams, index, orders, handler);
     }
 
+    private static Map<String, String> weightsVersions(AgentSettings settings) {
+        return switch (settings.backend()) {
+            case BackendServer.Engine engine ->
+                    engine.models().stream()
+                            .collect(
+                                    Collectors.toMap(
+                                            BackendServer.ServedModel::model,
+                                            BackendServer.ServedModel::weightsVersion,
+                                            (first, second) -> second));
+            case BackendServer.PlainService service -> Map.of();
+        };
+    }
+
     private static QueuePolicy queuePolicy(AgentSettings settings) {
         int slots = settings.backend().slots();
         return switch (settings.backend()) {
--- a/agent/src/main/java/org/ibisstand/agent/EngineLoader.java
+++ b/agent/src/main/java/org/ibisstand/agent/EngineLoader.java
@@ -10,7 +10,8 @@
      * @param model the model's name
      * @param weightsVersion the version to serve
      * @param fencingNumber increases with every order; engines may reject lower numbers
-     * @return completes when the engine serves the version; fails if the load fails
+     * @return completes with true when the engine serves the version and with false if it refused
+     *     the order and keeps its weights; fails if it may have either version
      */
-    CompletableFuture<Void> load(String model, String weightsVersion, long fencingNumber);
+    CompletableFuture<Boolean> load(String model, String weightsVersion, long fencingNumber);
 }
--- a/agent/src/main/java/org/ibisstand/agent/HttpEngineLoader.java
+++ b/agent/src/main/java/org/ibisstand/agent/HttpEngineLoader.java
@@ -7,6 +7,7 @@
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.settings.JsonReader;
+import org.tinylog.Logger;
 
 /** Sends orders to load weights to the engine over HTTP. */
 final class HttpEngineLoader implements EngineLoader {
@@ -36,7 +37,8 @@
     }
 
     @Override
-    public CompletableFuture<Void> load(String model, String weightsVersion, long fencingNumber) {
+    public CompletableFuture<Boolean> load(
+            String model, String weightsVersion, long fencingNumber) {
         byte[] body = mJson.write(new LoadOrder(model, weightsVersion, fencingNumber));
         return mClient.preparePost(mUrl)
                 .setHeader("content-type", "application/json")
@@ -44,15 +46,20 @@
                 .setRequestTimeout(LOAD_TIMEOUT)
                 .execute(new BoundedResponseHandler(MAXIMUM_RESPONSE_BYTES))
                 .toCompletableFuture()
-                .thenAccept(HttpEngineLoader::requireOk);
+                .thenApply(HttpEngineLoader::isLoaded);
     }
 
-    private static void requireOk(Response response) {
-        if (response.getStatusCode() != OK) {
+    private static boolean isLoaded(Response response) {
+        int status = response.getStatusCode();
+        boolean isRefused = status >= 400 && status < 500;
+        if (status != OK && !isRefused) {
             throw new IbisstandException(
                     ErrorCode.BACKEND_FAILED,
-                    "the engine rejected a load order with HTTP status "
-                            + response.getStatusCode());
+                    "the engine failed a load order with HTTP status " + status);
         }
+        if (isRefused) {
+            Logger.warn("event=order_refused status={}", status);
+        }
+        return status == OK;
     }
 }
--- a/agent/src/main/java/org/ibisstand/agent/RequestExecutor.java
+++ b/agent/src/main/java/org/ibisstand/agent/RequestExecutor.java
@@ -3,11 +3,13 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,8 @@
  */
 final class RequestExecutor {
     private static final String BACKEND_DOWN_MESSAGE = "the backend server accepts no connections";
+    private static final String OTHER_WEIGHTS_MESSAGE =
+            "the engine has other weights or is to load them";
 
     private final AgentIdentifier mAgent;
     private final BootIdentifier mBoot;
@@ -44,11 +48,13 @@
     private final WorkQueue mQueue;
     private final Backend mBackend;
     private final BackendHealth mHealth;
+    private final LoadedWeights mWeights;
     private final ResponseDelivery mDelivery;
     private final ExecutionLimits mLimits;
     private final ExecutionMetrics mMetrics;
     private final Attempts<Execution> mAttempts;
     private final Map<Long, Execution> mExecutions = new HashMap<>();
+    private final List<Drain> mDrains = new ArrayList<>();
     private final Map<String, Double> mTeamWeights = new HashMap<>();
     private Optional<ScheduledFuture<?>> mNextPoll = Optional.empty();
     private long mNextWorkIdentifier = 1;
@@ -61,6 +67,7 @@
             WorkQueue queue,
             Backend backend,
             BackendHealth health,
+            LoadedWeights weights,
             OutcomeRecorder recorder,
             ExecutionLimits limits,
             ExecutionMetrics metrics) {
@@ -71,6 +78,7 @@
         mQueue = queue;
         mBackend = backend;
         mHealth = health;
+        mWeights = weights;
         mLimits = limits;
         mMetrics = metrics;
         mAttempts = Attempts.create(clock);
@@ -103,6 +111,13 @@
                     new Verdict.NotRun(ErrorCode.BACKEND_UNREACHABLE, BACKEND_DOWN_MESSAGE));
             return;
         }
+        if (!submit.getModel().isEmpty()
+                && !mWeights.serves(submit.getModel(), submit.getWeightsVersion())) {
+            endWithoutRunning(
+                    execution,
+                    new Verdict.NotRun(ErrorCode.NO_AGENT_AVAILABLE, OTHER_WEIGHTS_MESSAGE));
+            return;
+        }
         updateTeamWeight(submit);
         mExecutions.put(execution.workIdentifier(), execution);
         mQueue.submit(new WorkItem(execution.workIdentifier(), profile));
@@ -139,6 +154,36 @@
                 .forEach(BackendCall::resumeReading);
     }
 
+    /**
+     * Ends the queued requests of a model without running them and waits for its runs.
+     *
+     * @param model a model of which no request is accepted for now
+     * @param maximumWait how long to wait
+     * @return completes on the control thread; false if runs go on after the wait
+     */
+    CompletableFuture<Boolean> drain(String model, Duration maximumWait) {
+        for (Execution execution : List.copyOf(mExecutions.values())) {
+            if (execution.submit().getModel().equals(model)) {
+                cancelWaiting(execution, ErrorCode.NO_AGENT_AVAILABLE, OTHER_WEIGHTS_MESSAGE);
+            }
+        }
+        Drain drain = new Drain(model, new CompletableFuture<>());
+        mDrains.add(drain);
+        completeDrains();
+        if (!drain.ended().isDone()) {
+            ScheduledFuture<?> timer =
+                    mControlThread.schedule(
+                            () -> {
+                                mDrains.remove(drain);
+                                drain.ended().complete(false);
+                            },
+                            maximumWait.toMillis(),
+                            TimeUnit.MILLISECONDS);
+            drain.ended().thenRun(() -> timer.cancel(false));
+        }
+        return drain.ended();
+    }
+
     void startDraining() {
         mQueue.startDraining();
         poll();
@@ -317,6 +362,18 @@
         mQueue.finished(execution.workIdentifier(), cachedPieces);
         mMetrics.completed(Duration.between(execution.dispatchedAt(), mClock.instant()));
         poll();
+        completeDrains();
+    }
+
+    private void completeDrains() {
+        List<Drain> ended = mDrains.stream().filter(drain -> !hasRequests(drain.model())).toList();
+        mDrains.removeAll(ended);
+        ended.forEach(drain -> drain.ended().complete(true));
+    }
+
+    private boolean hasRequests(String model) {
+        return mExecutions.values().stream()
+                .anyMatch(execution -> execution.submit().getModel().equals(model));
     }
 
     private void log(Execution execution, Verdict verdict) {
@@ -328,6 +385,14 @@
                 mAgent);
     }
 
+    /**
+     * A wait for the runs of a model.
+     *
+     * @param model the model
+     * @param ended completes with whether they ended in time
+     */
+    private record Drain(String model, CompletableFuture<Boolean> ended) {}
+
     /** Passes response data to the streams and reports progress to the queue. */
     private final class Listener implements BackendListener {
         private final Execution mExecution;
--- a/agent/src/test/java/org/ibisstand/agent/HttpEngineLoaderTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/HttpEngineLoaderTest.java
@@ -34,7 +34,7 @@
             HttpEngineLoader loader =
                     new HttpEngineLoader(client, "http://127.0.0.1:" + engine.getLocalPort());
 
-            CompletableFuture<Void> loaded = loader.load("model", "1", 1);
+            CompletableFuture<Boolean> loaded = loader.load("model", "1", 1);
 
             assertThrows(CompletionException.class, loaded::join);
             assertThat(sentBytes.get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
--- a/agent/src/test/java/org/ibisstand/agent/RequestExecutorTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/RequestExecutorTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.AgentIdentifier;
@@ -55,6 +56,7 @@
                         mClock),
                 this::start,
                 BackendHealth.create(mEventLoops, "http://127.0.0.1:1", mControlThread),
+                new LoadedWeights(Map.of()),
                 (attempt, outcome) -> mRecorded,
                 new ExecutionLimits(1024, BUFFER_BYTES, Duration.ZERO, Duration.ofHours(1)),
                 new ExecutionMetrics(new MetricRegistry()));
