Send each crash report to a gateway twice, not all evidence from all members

Cause, by reading: each of six members sent the whole evidence to each of 29 gateways at each tick that brought a report, and each crash brings a report of every gateway that had requests at the engine.

Change: a gateway gets reports from two members, which it ranks by hash, so that one may be frozen or cut off. It gets the whole evidence once, and then what is new. A report says whether it is whole, as a gateway compares only such a one with its own evidence.

CrashReportRelayTest.eachGatewayGotTheWholeEvidenceFromAllMembersForEachReport counts the reports that reach a gateway.

--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -84,6 +84,8 @@
         mCrashReports =
                 new CrashReportRelay(
                         notices -> mPeers.broadcast(Frame.newBuilder().setEngineNotices(notices)),
+                        mAddress,
+                        this::memberAddresses,
                         clock);
         mNextJoinTime = clock.instant().plus(JOIN_INTERVAL);
     }
@@ -173,7 +175,7 @@
         LogLine.info("watcher_added").with("watcher", watch.getProcess()).write();
         mWatchers.watch(connection, correlation, watch);
         if (!watch.getProcess().isEmpty()) {
-            mCrashReports.watch(connection, correlation);
+            mCrashReports.watch(connection, correlation, watch.getProcess());
         }
     }
 
--- a/control/src/test/java/org/ibisstand/control/CrashReportRelayTest.java
+++ b/control/src/test/java/org/ibisstand/control/CrashReportRelayTest.java
@@ -53,14 +53,7 @@
     private static final int WIRE_PORT = 27_350;
     private static final int MEMBER_COUNT = 3;
     private static final String PART = "part";
-    private static final CrashReport CRASH =
-            new CrashReport(
-                    List.of(
-                            new Crash(
-                                    new Incarnation("engine", 1),
-                                    0,
-                                    Set.of(new Suspect(Set.of(PART), 0)))),
-                    List.of());
+    private static final CrashReport CRASH = crashBy(PART);
 
     private final String mAddressPrefix = "127." + (2 + new Random().nextInt(250)) + ".8.";
     private final Map<Integer, ControlDaemon> mDaemons = new HashMap<>();
@@ -122,7 +115,11 @@
     void aReportIsForwardedToOtherMembersOnlyOnce() {
         List<EngineNotices> forwarded = new ArrayList<>();
         CrashReportRelay relay =
-                new CrashReportRelay(forwarded::add, ManualClock.at(Instant.ofEpochSecond(1_000)));
+                new CrashReportRelay(
+                        forwarded::add,
+                        "a:1",
+                        () -> List.of("a:1"),
+                        ManualClock.at(Instant.ofEpochSecond(1_000)));
 
         relay.receive(CRASH);
         relay.receive(CRASH);
@@ -132,9 +129,27 @@
         assertThat(decode(forwarded.getFirst())).containsExactly(PART);
     }
 
+    /** With the whole evidence from each member for each report, the links of a fleet were full. */
+    @Test
+    void eachGatewayGotTheWholeEvidenceFromAllMembersForEachReport() {
+        startAll();
+        Gateway reporting = follow(0);
+        Gateway other = follow(1);
+        awaitTold(reporting, CRASH);
+        awaitTrue(() -> other.suspects().contains(PART));
+        awaitTrue(() -> other.reportsWith(PART) >= 2);
+
+        awaitTold(reporting, crashBy("second"));
+        awaitTrue(() -> other.reportsWith("second") >= 2);
+
+        assertThat(other.reportsWith(PART)).isEqualTo(2);
+        assertThat(other.reportsWith("second")).isEqualTo(2);
+    }
+
     /** A follower and the evidence that it received. */
     private final class Gateway {
         private final CrashEvidence mEvidence = new CrashEvidence();
+        private final List<CrashReport> mReports = new ArrayList<>();
         private final FleetFollower mFollower;
 
         Gateway(String process, int member) {
@@ -151,12 +166,29 @@
         }
 
         private synchronized void receive(EngineNotices notices) {
-            CrashReportCodec.decode(notices).ifPresent(report -> mEvidence.merge(report, 0));
+            CrashReportCodec.decode(notices)
+                    .ifPresent(
+                            report -> {
+                                mEvidence.merge(report, 0);
+                                mReports.add(report);
+                            });
         }
 
         private synchronized Set<String> suspects() {
             return mEvidence.suspects(0);
         }
+
+        private synchronized int reportsWith(String part) {
+            return (int)
+                    mReports.stream()
+                            .filter(
+                                    report -> {
+                                        CrashEvidence evidence = new CrashEvidence();
+                                        evidence.merge(report, 0);
+                                        return evidence.suspects(0).contains(part);
+                                    })
+                            .count();
+        }
     }
 
     private Gateway follow(int member) {
@@ -168,10 +200,13 @@
     /** Tells a report until it comes back, as the follower may not be connected yet. */
     private void awaitTold(Gateway gateway, CrashReport report) {
         boolean isAcquittal = report.crashes().isEmpty();
+        CrashEvidence evidence = new CrashEvidence();
+        evidence.merge(isAcquittal ? CRASH : report, 0);
+        Set<String> parts = evidence.suspects(0);
         awaitTrue(
                 () -> {
                     gateway.mFollower.tellAll(CrashReportCodec.encode(report));
-                    return gateway.suspects().contains(PART) != isAcquittal;
+                    return gateway.suspects().containsAll(parts) != isAcquittal;
                 });
     }
 
@@ -181,6 +216,16 @@
         return evidence.suspects(0);
     }
 
+    private static CrashReport crashBy(String part) {
+        return new CrashReport(
+                List.of(
+                        new Crash(
+                                new Incarnation("engine-of-" + part, 1),
+                                0,
+                                Set.of(new Suspect(Set.of(part), 0)))),
+                List.of());
+    }
+
     private void startAll() {
         for (int member = 0; member < MEMBER_COUNT; member++) {
             start(member);
--- a/fleet/src/main/java/org/ibisstand/fleet/CrashReportCodec.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/CrashReportCodec.java
@@ -26,6 +26,7 @@
 
     private static final int REPORT_CRASHES = 1;
     private static final int REPORT_ACQUITTALS = 2;
+    private static final int REPORT_COMPLETE = 3;
 
     private static final int CRASH_SERVER = 1;
     private static final int CRASH_BORN = 2;
@@ -40,8 +41,31 @@
 
     private CrashReportCodec() {}
 
-    /** Returns notices that contain only a crash report. */
+    /** Returns notices that contain only a crash report, with some of what the sender knows. */
     public static EngineNotices encode(CrashReport report) {
+        return encode(report, false);
+    }
+
+    /** Returns notices that contain only a crash report, with all that the sender knows. */
+    public static EngineNotices encodeComplete(CrashReport report) {
+        return encode(report, true);
+    }
+
+    /** Returns whether notices contain a report with all that their sender knows. */
+    public static boolean isComplete(EngineNotices notices) {
+        try {
+            return lastNumber(
+                            UnknownFieldSet.parseFrom(
+                                    lastBytes(notices.getUnknownFields(), REPORT)),
+                            REPORT_COMPLETE)
+                    != 0;
+        } catch (InvalidProtocolBufferException e) {
+            LogLine.warning("crash_report_unreadable").cause(e).write();
+            return false;
+        }
+    }
+
+    private static EngineNotices encode(CrashReport report, boolean isComplete) {
         Field.Builder crashes = Field.newBuilder();
         report.crashes().forEach(crash -> crashes.addLengthDelimited(encode(crash)));
         Field.Builder acquittals = Field.newBuilder();
@@ -50,6 +74,7 @@
                 UnknownFieldSet.newBuilder()
                         .addField(REPORT_CRASHES, crashes.build())
                         .addField(REPORT_ACQUITTALS, acquittals.build())
+                        .addField(REPORT_COMPLETE, number(isComplete ? 1 : 0))
                         .build()
                         .toByteString();
         return EngineNotices.newBuilder()
--- a/gateway/src/main/java/org/ibisstand/gateway/PartQuarantine.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PartQuarantine.java
@@ -117,14 +117,15 @@
 
     /** Applies the crash report in notices from the control plane, if there is one. */
     void receive(EngineNotices notices) {
-        CrashReportCodec.decode(notices).ifPresent(this::receive);
+        CrashReportCodec.decode(notices)
+                .ifPresent(report -> receive(report, CrashReportCodec.isComplete(notices)));
     }
 
-    private void receive(CrashReport report) {
+    private void receive(CrashReport report, boolean isComplete) {
         long now = mClock.millis();
         merge(report);
         acquit(mEvidence.suspects(now).stream().filter(mSuspects::isAcquitted).toList());
-        if (now >= mNextResend && mEvidence.isAheadOf(report, now)) {
+        if (isComplete && now >= mNextResend && mEvidence.isAheadOf(report, now)) {
             mNextResend = now + RESEND_INTERVAL_MILLISECONDS;
             mControl.accept(CrashReportCodec.encode(mEvidence.report(now)));
         }
--- a/gateway/src/test/java/org/ibisstand/gateway/PartQuarantineTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/PartQuarantineTest.java
@@ -155,7 +155,7 @@
     void aMemberThatKnowsLessIsToldEverythingOnce() {
         crashEngines(CRASHING);
         mSent.clear();
-        EngineNotices empty = CrashReportCodec.encode(CrashReport.EMPTY);
+        EngineNotices empty = CrashReportCodec.encodeComplete(CrashReport.EMPTY);
 
         mGateways.getFirst().receive(empty);
         mGateways.getFirst().receive(empty);
@@ -190,7 +190,7 @@
         mSent.add(notices);
         long now = mClock.millis();
         if (mControl.merge(CrashReportCodec.decode(notices).orElseThrow(), now)) {
-            EngineNotices everything = CrashReportCodec.encode(mControl.report(now));
+            EngineNotices everything = CrashReportCodec.encodeComplete(mControl.report(now));
             List.copyOf(mGateways).forEach(gateway -> gateway.receive(everything));
         }
     }
