Reset runs that cannot move after 700 ms

Cause: engines served no new requests for 2 s while they waited for runs that no other engine had memory for.

Change: the wait is 700 ms again, as it was before runs had to finish. The last engine still waits while the others have spare capacity.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -40,7 +40,7 @@
      * The maximum wait for runs that cannot be moved; then they are reset. An engine that waited
      * for its longest runs would serve no new requests for many seconds under load.
      */
-    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(2_000);
+    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(700);
 
     /**
      * How long the last engine with outdated weights may have them, while the others have spare
