Remove voters that are gone once the group tolerates no fewer losses without them

Cause: a successor at another address has another name and was added as one more voter, while the voter that was gone stayed for ever. Two of four, or three of five, leave no majority. The same path left a learner without a vote when the leader that added it ended, and no room for a successor among seven members.

Change: VoterPolicy decides each change of the voters from the leader's log and contacts of the moment, so every leader goes on where the last one stopped. A silent voter is removed when a learner that has caught up takes its place, or when the number of voters is even. A member that was removed while it was only silent notices that it has no leader and returns with its disk; the membership carries the identity of the group for that.

It works as the group never counts a voter that cannot answer in addition to its successor, and each change adds or removes one vote only.

--- a/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
@@ -1,5 +1,6 @@
 package org.ibisstand.consensus;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -82,10 +83,12 @@
 
     /** Returns what the member knows about itself and its cluster. */
     public MemberStatus status() {
-        Map<MemberIdentifier, Long> matchIndexes =
-                mState.role() instanceof Role.Leader leader
-                        ? leader.leadership().matchIndexes()
-                        : Map.of();
+        Map<MemberIdentifier, Long> matchIndexes = Map.of();
+        Map<MemberIdentifier, Duration> silences = Map.of();
+        if (mState.role() instanceof Role.Leader leader) {
+            matchIndexes = leader.leadership().matchIndexes();
+            silences = leader.leadership().silences();
+        }
         return new MemberStatus(
                 mState.self(),
                 mState.role() instanceof Role.Leader,
@@ -95,7 +98,8 @@
                 mState.commitIndex(),
                 mState.log().lastIndex(),
                 mState.log().snapshot().map(Snapshot::index).orElse(0L),
-                matchIndexes);
+                matchIndexes,
+                silences);
     }
 
     private void dispatch(Input input) {
--- a/consensus/src/main/java/org/ibisstand/consensus/ContentCodec.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/ContentCodec.java
@@ -86,7 +86,8 @@
     }
 
     private static MembershipMessage toMessage(Membership membership) {
-        MembershipMessage.Builder builder = MembershipMessage.newBuilder();
+        MembershipMessage.Builder builder =
+                MembershipMessage.newBuilder().setGroup(membership.group());
         for (Member member : membership.members().values()) {
             builder.addMembers(
                     MemberRecord.newBuilder()
@@ -107,7 +108,7 @@
                                                 member.getAddress(),
                                                 member.getVoting()))
                         .toList();
-        return Membership.of(members);
+        return Membership.of(members, message.getGroup());
     }
 
     private static IbisstandException damaged(String what, Exception cause) {
--- a/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
@@ -157,6 +157,15 @@
         return Map.copyOf(indexes);
     }
 
+    /** Returns for each other member how long it has not answered. */
+    Map<MemberIdentifier, Duration> silences() {
+        Map<MemberIdentifier, Duration> silences = new HashMap<>();
+        mProgress.keySet().stream()
+                .filter(member -> !member.equals(mState.self()))
+                .forEach(member -> silences.put(member, silence(member)));
+        return Map.copyOf(silences);
+    }
+
     private void append(List<EntryContent> contents) {
         for (EntryContent content : contents) {
             long index = mState.log().lastIndex() + 1;
@@ -234,11 +243,11 @@
     }
 
     private boolean isInContact(MemberIdentifier member, Duration contactTimeout) {
-        if (member.equals(mState.self())) {
-            return true;
-        }
-        Duration silence = Duration.between(mProgress.get(member).lastContact(), mState.now());
-        return silence.compareTo(contactTimeout) <= 0;
+        return member.equals(mState.self()) || silence(member).compareTo(contactTimeout) <= 0;
+    }
+
+    private Duration silence(MemberIdentifier member) {
+        return Duration.between(mProgress.get(member).lastContact(), mState.now());
     }
 
     private boolean hasCommittedInTerm() {
--- a/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
@@ -1,5 +1,6 @@
 package org.ibisstand.consensus;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
@@ -15,6 +16,8 @@
  * @param lastIndex the last entry of its log
  * @param snapshotIndex the last entry that its snapshot covers
  * @param matchIndexes for a leader: the last entry known to be durable at each member
+ * @param silences for a leader: the time since each other member answered, or since the leader's
+ *     term began or the member was added if that is shorter
  */
 public record MemberStatus(
         MemberIdentifier self,
@@ -25,4 +28,5 @@
         long commitIndex,
         long lastIndex,
         long snapshotIndex,
-        Map<MemberIdentifier, Long> matchIndexes) {}
+        Map<MemberIdentifier, Long> matchIndexes,
+        Map<MemberIdentifier, Duration> silences) {}
--- a/consensus/src/main/java/org/ibisstand/consensus/Membership.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Membership.java
@@ -13,10 +13,11 @@
  * All members at one point of the log.
  *
  * @param members the members by identifier
+ * @param group identifies the group for as long as it exists; empty if an earlier release formed it
  */
-public record Membership(SortedMap<MemberIdentifier, Member> members) {
+public record Membership(SortedMap<MemberIdentifier, Member> members, String group) {
     /** The membership of a member that belongs to no cluster yet. */
-    public static final Membership EMPTY = of(List.of());
+    public static final Membership EMPTY = of(List.of(), "");
 
     /** Copies the members, so that a membership never changes. */
     public Membership {
@@ -27,11 +28,12 @@
      * Returns a membership of the given members.
      *
      * @param members in any order
+     * @param group identifies the group, and no other one
      */
-    public static Membership of(List<Member> members) {
+    public static Membership of(List<Member> members, String group) {
         SortedMap<MemberIdentifier, Member> sorted = new TreeMap<>();
         members.forEach(member -> sorted.put(member.identifier(), member));
-        return new Membership(sorted);
+        return new Membership(sorted, group);
     }
 
     /**
@@ -71,7 +73,7 @@
     public Membership with(Member member) {
         SortedMap<MemberIdentifier, Member> changed = new TreeMap<>(members);
         changed.put(member.identifier(), member);
-        return new Membership(changed);
+        return new Membership(changed, group);
     }
 
     /**
@@ -82,6 +84,6 @@
     public Membership without(MemberIdentifier identifier) {
         SortedMap<MemberIdentifier, Member> changed = new TreeMap<>(members);
         changed.remove(identifier);
-        return new Membership(changed);
+        return new Membership(changed, group);
     }
 }
--- a/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
@@ -55,7 +55,7 @@
         SimulatedMember bootstrapMember = mMembers.get(initialMembers.getFirst().identifier());
         step(
                 bootstrapMember,
-                new Input.Form(Membership.of(initialMembers), bootstrapMember.state()));
+                new Input.Form(Membership.of(initialMembers, "group"), bootstrapMember.state()));
     }
 
     MemberIdentifier newIdentifier() {
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -39,9 +39,6 @@
     /** Interval between requests to be added to the group; a few heartbeats of the leader. */
     private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
 
-    /** The largest number of voters that the replicated log supports. */
-    private static final int MAXIMUM_VOTERS = 7;
-
     private final ControlSettings mSettings;
     private final ScheduledExecutorService mControlThread;
     private final ControlState mState;
@@ -222,7 +219,7 @@
 
     /**
      * If this member leads, adds a member that replaces one with a lost disk, or a new one while
-     * the group is below the largest number of voters.
+     * the group has room.
      */
     void receiveJoinRequest(JoinRequest request) {
         LogStatus status = mLog.status();
@@ -232,7 +229,7 @@
                                 member ->
                                         member.name().startsWith(request.getMember() + ".")
                                                 || member.address().equals(request.getAddress()));
-        boolean hasRoom = status.members().size() < MAXIMUM_VOTERS;
+        boolean hasRoom = status.members().size() < VoterPolicy.MAXIMUM_MEMBERS;
         if (!status.leads()
                 || !(isReplacement || hasRoom)
                 || !mJoiningMembers.add(request.getMember())) {
@@ -253,9 +250,7 @@
         mLeaderAddress = status.leads() ? Optional.of(mAddress) : status.leaderAddress();
         mPeers.connectTo(peerAddresses(status));
         mDirectory.tick(now);
-        boolean isNotMember =
-                status.members().stream().noneMatch(member -> member.address().equals(mAddress));
-        if (mSettings.join() && isNotMember && !now.isBefore(mNextJoinTime)) {
+        if (mayBeOutsideGroup(status) && !now.isBefore(mNextJoinTime)) {
             mNextJoinTime = now.plus(JOIN_INTERVAL);
             mPeers.requestJoin(mSettings.member(), mAddress);
         }
@@ -356,6 +351,21 @@
         return result;
     }
 
+    /**
+     * Returns whether this member is outside the group as far as it knows. Where silent members are
+     * removed, one without a leader may have been; the leader ignores the request of one that still
+     * belongs to the group.
+     */
+    private boolean mayBeOutsideGroup(LogStatus status) {
+        boolean isListed =
+                status.members().stream().anyMatch(member -> member.address().equals(mAddress));
+        boolean mayBeRemoved =
+                mSettings.timing().replacementSilenceMilliseconds() > 0
+                        && !status.members().isEmpty()
+                        && status.leaderAddress().isEmpty();
+        return (mSettings.join() && !isListed) || mayBeRemoved;
+    }
+
     private List<String> memberAddresses() {
         return mLog.status().members().stream().map(LogMember::address).sorted().toList();
     }
--- a/control/src/main/java/org/ibisstand/control/GroupFormation.java
+++ b/control/src/main/java/org/ibisstand/control/GroupFormation.java
@@ -34,12 +34,18 @@
         mSelf = new Member(self, address, true);
     }
 
-    /** Returns the introduction of this member. */
-    Introduction introduction(boolean formed) {
+    /**
+     * Returns the introduction of this member.
+     *
+     * @param formed whether the member already belongs to a group
+     * @param group identifies that group
+     */
+    Introduction introduction(boolean formed, String group) {
         return Introduction.newBuilder()
                 .setName(mSettings.member())
                 .setAddress(mSelf.address())
                 .setFormed(formed)
+                .setGroup(group)
                 .addAllFirstMembers(firstMembers())
                 .build();
     }
@@ -73,7 +79,8 @@
             }
             members.add(received.get().toVoter());
         }
-        return Optional.of(Membership.of(members));
+        // The identity of a data folder is drawn at random, and a folder forms a group only once.
+        return Optional.of(Membership.of(members, mSelf.identifier().value()));
     }
 
     private boolean isRecentAndAgrees(ReceivedIntroduction received, Instant now) {
--- a/control/src/main/java/org/ibisstand/control/MemberAddition.java
+++ b/control/src/main/java/org/ibisstand/control/MemberAddition.java
@@ -8,16 +8,14 @@
 import java.util.function.Function;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
-import org.ibisstand.consensus.Member;
 import org.ibisstand.consensus.MemberIdentifier;
 import org.ibisstand.consensus.MemberStatus;
 import org.ibisstand.consensus.MembershipChange;
 import org.ibisstand.control.message.Introduction;
 
 /**
- * Adds one member to the group, step by step: requests its identity, adds it as a learner, waits
- * until it has caught up, removes the lost member of the same name, and promotes the new one to a
- * voter. A repeated request continues where an interrupted one stopped.
+ * Adds one member to the group as a learner and waits until {@link VoterPolicy} has given it a
+ * vote. A repeated request continues where an interrupted one stopped.
  */
 final class MemberAddition {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
@@ -41,14 +39,17 @@
         return mMember.address();
     }
 
-    /** Handles the introduction that the process at the address sent. */
+    /**
+     * Handles an introduction that a process sent. The last one counts, since the member may lose
+     * its disk again while it is being added.
+     */
     void receiveIntroduction(
             MemberIdentifier member, Introduction introduction, MemberStatus status) {
-        boolean isExpectedName = introduction.getName().equals(mMember.name());
-        if (!isExpectedName || mIdentifier.isPresent()) {
+        if (!introduction.getName().equals(mMember.name())) {
             return;
         }
-        if (introduction.getFormed() && status.membership().member(member).isEmpty()) {
+        boolean isMember = status.membership().member(member).isPresent();
+        if (introduction.getFormed() && !isMember && !isFormerMember(introduction, status)) {
             fail(
                     ErrorCode.MEMBERSHIP_CONFLICT,
                     member + " belongs to another group; start it with an empty data folder");
@@ -57,6 +58,14 @@
         mIdentifier = Optional.of(member);
     }
 
+    /**
+     * A member that was removed with its disk intact may return: its log is part of the group's.
+     */
+    private static boolean isFormerMember(Introduction introduction, MemberStatus status) {
+        String group = status.membership().group();
+        return !group.isEmpty() && group.equals(introduction.getGroup());
+    }
+
     /**
      * Starts the next step if it is due.
      *
@@ -76,10 +85,9 @@
             fail(
                     ErrorCode.DEADLINE_EXCEEDED,
                     mMember.name() + " did not answer or catch up in time; repeat the request");
-        } else if (mIdentifier.isEmpty()) {
+        } else {
             requestIntroduction.accept(mMember.address());
-        } else if (!mChangePending) {
-            step(mIdentifier.get(), status, changeMembership);
+            mIdentifier.ifPresent(member -> step(member, status, changeMembership));
         }
     }
 
@@ -89,39 +97,19 @@
             Function<MembershipChange, CompletableFuture<byte[]>> changeMembership) {
         if (status.membership().isVoter(member)) {
             mDone.complete(null);
-        } else if (status.membership().member(member).isEmpty()) {
-            start(changeMembership, new MembershipChange.AddLearner(member, mMember.address()));
-        } else if (status.matchIndexes().getOrDefault(member, 0L) >= status.commitIndex()) {
-            start(changeMembership, nextVotingChange(member, status));
+        } else if (status.membership().member(member).isEmpty() && !mChangePending) {
+            mChangePending = true;
+            changeMembership
+                    .apply(new MembershipChange.AddLearner(member, mMember.address()))
+                    .whenComplete((result, failure) -> changed(failure));
         }
     }
 
-    /**
-     * Removes the lost member before it promotes the new one, so that the group never counts a
-     * voter that cannot answer in addition to the new voter.
-     */
-    private MembershipChange nextVotingChange(MemberIdentifier member, MemberStatus status) {
-        return status.membership().members().values().stream()
-                .map(Member::identifier)
-                .filter(other -> other.name().equals(mMember.name()) && !other.equals(member))
-                .findFirst()
-                .<MembershipChange>map(MembershipChange.Remove::new)
-                .orElse(new MembershipChange.Promote(member));
-    }
-
-    private void start(
-            Function<MembershipChange, CompletableFuture<byte[]>> changeMembership,
-            MembershipChange change) {
-        mChangePending = true;
-        changeMembership
-                .apply(change)
-                .whenComplete(
-                        (result, failure) -> {
-                            mChangePending = false;
-                            if (failure != null && !isRetryable(failure)) {
-                                mDone.completeExceptionally(failure);
-                            }
-                        });
+    private void changed(Throwable failure) {
+        mChangePending = false;
+        if (failure != null && !isRetryable(failure)) {
+            mDone.completeExceptionally(failure);
+        }
     }
 
     private static boolean isRetryable(Throwable failure) {
--- a/control/src/main/java/org/ibisstand/control/MemberDiscovery.java
+++ b/control/src/main/java/org/ibisstand/control/MemberDiscovery.java
@@ -31,7 +31,8 @@
 
     /** Answers an introduction request with the introduction of this member. */
     void sendIntroduction(WireConnection connection, MemberStatus status) {
-        Introduction introduction = mFormation.introduction(!hasEmptyLog(status));
+        Introduction introduction =
+                mFormation.introduction(!hasEmptyLog(status), status.membership().group());
         mConnections.send(
                 connection, MemberPayload.newBuilder().setIntroduction(introduction).build());
     }
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -64,12 +64,14 @@
     private final MemberDiscovery mDiscovery;
     private final PendingRequests mPendingRequests = new PendingRequests();
     private final RequestBatcher mBatcher;
+    private final VoterPolicy mVoterPolicy;
     private final ScheduledFuture<?> mTickTask;
     private Membership mMembership;
     private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
     private Set<CompletableFuture<byte[]>> mOpenAtLastRefusal = Set.of();
     private Optional<IbisstandException> mFailure = Optional.empty();
     private long mAppliedIndex;
+    private Optional<MembershipChange> mPendingVoterChange = Optional.empty();
     private long mBytesSinceSnapshot;
 
     private ReplicatedLog(StateMachine stateMachine, LogContext context, OpenedLog opened) {
@@ -100,6 +102,7 @@
                 new MemberDiscovery(
                         new GroupFormation(settings, mSelf, context.address()), mConnections);
         mBatcher = new RequestBatcher(context.controlThread(), mPendingRequests, this::step);
+        mVoterPolicy = voterPolicy(settings.timing());
         long tickMilliseconds = settings.timing().heartbeatMilliseconds() / TICKS_PER_HEARTBEAT;
         mTickTask =
                 context.controlThread()
@@ -261,9 +264,35 @@
             MemberStatus status = mConsensus.status();
             mDiscovery.findGroupToForm(status, now()).ifPresent(this::formGroup);
             mDiscovery.tickAdditions(status, now(), this::changeMembership);
+            changeVotersIfDue(status);
         }
     }
 
+    private void changeVotersIfDue(MemberStatus status) {
+        if (!status.leading() || mPendingVoterChange.isPresent()) {
+            return;
+        }
+        mPendingVoterChange = mVoterPolicy.nextChange(status);
+        mPendingVoterChange.ifPresent(
+                change ->
+                        changeMembership(change)
+                                .whenComplete((result, failure) -> votersChanged(change, failure)));
+    }
+
+    /** Forgets the change; the policy asks again for one that failed if it is still due. */
+    private void votersChanged(MembershipChange change, Throwable failure) {
+        mPendingVoterChange = Optional.empty();
+        LogLine line =
+                failure == null
+                        ? LogLine.info("voters_changed")
+                        : LogLine.warning("voters_not_changed")
+                                .with("reason", failure.getMessage());
+        line.with("member", mSelf)
+                .with("change", change)
+                .with("voters", mMembership.voters())
+                .write();
+    }
+
     private void formGroup(Membership membership) {
         Logger.info("event=group_formed members={}", membership.members().keySet());
         step(new Input.Form(membership, mStateMachine.snapshot()));
@@ -405,6 +434,13 @@
                 Duration.ofMillis(timing.heartbeatMilliseconds()));
     }
 
+    private static VoterPolicy voterPolicy(ControlSettings.Timing timing) {
+        return new VoterPolicy(
+                Duration.ofMillis(timing.electionTimeoutMilliseconds()),
+                Optional.of(Duration.ofMillis(timing.replacementSilenceMilliseconds()))
+                        .filter(Duration::isPositive));
+    }
+
     private static MemberPayload parse(ByteString payload) {
         try {
             return MemberPayload.parseFrom(payload);
--- a/control/src/test/java/org/ibisstand/control/FleetControlTest.java
+++ b/control/src/test/java/org/ibisstand/control/FleetControlTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs real control members with logs on disk, each at its own loopback address. */
 class FleetControlTest {
@@ -47,6 +50,7 @@
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
     private static final int WIRE_PORT = 27_340;
     private static final int MEMBER_COUNT = 3;
+    private static final Set<Integer> FIRST_MEMBERS = Set.of(0, 1, 2);
     private static final byte[] ROUTING_JSON = bytes("{\"product\":1}");
     private static final byte[] ROUTING_SOURCE = bytes("{\"operator\":1}");
 
@@ -114,6 +118,47 @@
         assertThat(readRouting()).isEqualTo(new String(ROUTING_SOURCE, StandardCharsets.UTF_8));
     }
 
+    /** Guards against a voter that is gone for good and counts towards every majority for ever. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aGroupStaysWritableAfterEachMemberIsReplacedAtAnotherAddress(boolean successorIsFirst) {
+        startAll();
+        putRouting(1);
+        for (int gone = 0; gone < 2 * MEMBER_COUNT; gone++) {
+            int successor = gone + MEMBER_COUNT;
+            int lost = gone;
+            if (successorIsFirst) {
+                start(successor, true);
+                awaitTrue(() -> isVoter(successor));
+                stop(lost);
+            } else {
+                stop(lost);
+                start(successor, true);
+            }
+
+            awaitTrue(() -> isVoter(successor) && isNoVoter(lost));
+            putRouting(gone + 2);
+        }
+        assertThat(readRouting()).isEqualTo(new String(ROUTING_SOURCE, StandardCharsets.UTF_8));
+    }
+
+    /** Guards against a member that lost its place while it was silent and never gets it back. */
+    @Test
+    void aMemberThatWasRemovedWhileItWasAwayReturnsWithItsDisk() {
+        startAll();
+        start(MEMBER_COUNT, true);
+        awaitTrue(() -> isVoter(MEMBER_COUNT));
+        stop(1);
+        awaitTrue(() -> isNoVoter(1));
+        putRouting(1);
+
+        start(1, false);
+
+        awaitTrue(() -> isVoter(1));
+        putRouting(2);
+        assertThat(readRouting()).isEqualTo(new String(ROUTING_SOURCE, StandardCharsets.UTF_8));
+    }
+
     @Test
     void aServerAnnouncedToOneMemberIsKnownToAll() {
         startAll();
@@ -200,6 +245,18 @@
                 .anyMatch(entry -> countVotersAt(entry.getValue(), address(member)) == 1);
     }
 
+    /** Returns whether all running members count the member as a voter. */
+    private boolean isVoter(int member) {
+        return mDaemons.values().stream()
+                .allMatch(daemon -> countVotersAt(daemon, address(member)) == 1);
+    }
+
+    /** Returns whether no running member counts the member as a voter. */
+    private boolean isNoVoter(int member) {
+        return mDaemons.values().stream()
+                .allMatch(daemon -> countVotersAt(daemon, address(member)) == 0);
+    }
+
     /**
      * Counts the voters at an address in the member list of the administration API. A lost member
      * with that address is counted until it is removed.
@@ -231,7 +288,7 @@
 
     private ControlSettings settings(int member, boolean joinsGroup) {
         List<ControlSettings.Member> members = new ArrayList<>();
-        for (int other = 0; other < MEMBER_COUNT; other++) {
+        for (int other : joinsGroup ? mDaemons.keySet() : FIRST_MEMBERS) {
             members.add(
                     new ControlSettings.Member("member-" + other, Address.parse(address(other))));
         }
@@ -244,7 +301,7 @@
                 members,
                 joinsGroup,
                 new ControlSettings.Limits(1_000, 1 << 20, 1, 2),
-                new ControlSettings.Timing(600, 100, 3_600_000, 30_000, 1_000));
+                new ControlSettings.Timing(600, 100, 3_600_000, 30_000, 1_000, 1_500));
     }
 
     private String address(int member) {
--- a/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
@@ -70,11 +70,14 @@
      * @param keyRetentionMilliseconds for which the outcome of an idempotency key is kept
      * @param greatestLeaseMilliseconds that an agent is granted
      * @param announcementMilliseconds between the announcements of a backend server
+     * @param replacementSilenceMilliseconds after which a member that does not answer may lose its
+     *     place; zero if only operators remove members
      */
     public record Timing(
             @Range(from = 50, to = 60000) long electionTimeoutMilliseconds,
             @Range(from = 10, to = 60000) long heartbeatMilliseconds,
             @Range(from = 1000, to = 2678400000L) long keyRetentionMilliseconds,
             @Range(from = 500, to = 600000) long greatestLeaseMilliseconds,
-            @Range(from = 100, to = 60000) long announcementMilliseconds) {}
+            @Range(from = 100, to = 60000) long announcementMilliseconds,
+            @Range(from = 0, to = 3600000) long replacementSilenceMilliseconds) {}
 }
