Bound what control keeps of configurations in bytes instead of entries

Cause: the bounds counted entries. So did 8,192 unacknowledged entries a member, 10,000 waiting commands, call bodies of up to 16 MiB on every connection, and updates to all gateways at once.

Change: Limits bounds retained and unacknowledged entries by bytes as well. CommandProposer bounds open commands. RoutingChanges proposes large configurations a few at a time, and the others wait in one copy. FleetWatchers holds back updates while 8 MiB are unwritten.

--- a/administration/src/main/java/org/ibisstand/administration/CallServer.java
+++ b/administration/src/main/java/org/ibisstand/administration/CallServer.java
@@ -32,8 +32,11 @@
  * body or another place to ask, and whoever embeds it decides what may be asked.
  */
 public final class CallServer {
-    /** Configurations with many thousands of routes. */
-    private static final int MAXIMUM_BODY_BYTES = 16 << 20;
+    /** Configurations with ten thousand routes; parsed, one takes several times its size. */
+    private static final int MAXIMUM_BODY_BYTES = 4 << 20;
+
+    /** The bodies of all calls that are not answered yet; as many as eight large ones. */
+    private static final int MAXIMUM_BYTES_OF_BODIES = 8 << 20;
 
     private CallServer() {}
 
@@ -92,6 +95,7 @@
      * @throws IbisstandException with PORT_IN_USE if the address cannot be bound
      */
     public static Channel start(EventLoopGroup group, Address address, Handler handler) {
+        BodyBudget bodies = new BodyBudget(MAXIMUM_BYTES_OF_BODIES);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
@@ -104,6 +108,7 @@
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
                                                 .addLast(new HttpServerCodec())
+                                                .addLast(new BodyBudgetHandler(bodies))
                                                 .addLast(new BoundedAggregator(MAXIMUM_BODY_BYTES))
                                                 .addLast(new Calls(handler));
                                     }
--- a/consensus/src/main/java/org/ibisstand/consensus/EntryLog.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/EntryLog.java
@@ -12,10 +12,13 @@
 /** A member's log in memory: the newest snapshot, the entries around and after it. */
 final class EntryLog {
     private final List<Entry> mEntries = new ArrayList<>();
+    // The size of all commands up to and including each entry, since the member started.
+    private final List<Long> mEndOffsets = new ArrayList<>();
     private final NavigableMap<Long, Membership> mMemberships = new TreeMap<>();
     private Optional<Snapshot> mSnapshot = Optional.empty();
     private long mBaseIndex;
     private long mBaseTerm;
+    private long mBaseOffset;
 
     /** Returns the newest snapshot. */
     Optional<Snapshot> snapshot() {
@@ -79,6 +82,11 @@
         return List.copyOf(entries);
     }
 
+    /** Returns the size of the commands after an index, up to and including another one. */
+    long bytesBetween(long index, long lastIndex) {
+        return endOffset(lastIndex) - endOffset(index);
+    }
+
     /** Returns the first index of the run of entries that share a term. */
     long firstIndexOfTermAt(long index) {
         long term = entry(index).term();
@@ -93,6 +101,7 @@
         if (entry.index() != lastIndex() + 1) {
             throw new IllegalStateException(entry.index() + " cannot follow " + lastIndex());
         }
+        mEndOffsets.add(endOffset(lastIndex()) + size(entry));
         mEntries.add(entry);
         if (entry.content() instanceof EntryContent.MembershipEntry change) {
             mMemberships.put(entry.index(), change.membership());
@@ -104,20 +113,31 @@
     }
 
     void truncateFrom(long index) {
-        mEntries.subList(Math.toIntExact(index - mBaseIndex - 1), mEntries.size()).clear();
+        int kept = Math.toIntExact(index - mBaseIndex - 1);
+        mEntries.subList(kept, mEntries.size()).clear();
+        mEndOffsets.subList(kept, mEndOffsets.size()).clear();
         mMemberships.tailMap(index, true).clear();
     }
 
     /** Replaces the entries up to an index by a snapshot, and keeps some of them in memory. */
-    Snapshot compact(long index, byte[] state, int retainedEntries) {
+    Snapshot compact(long index, byte[] state, Limits limits) {
         Membership membership = membershipAt(index);
         long term = termAt(index).orElseThrow();
         Snapshot snapshot = new Snapshot(index, term, membership, state);
         setSnapshot(snapshot);
-        dropThrough(Math.max(mBaseIndex, index - retainedEntries));
+        dropThrough(lastIndexToDrop(index, limits));
         return snapshot;
     }
 
+    /** Returns the last index whose entry is not kept behind a snapshot. */
+    private long lastIndexToDrop(long snapshotIndex, Limits limits) {
+        long drop = Math.max(mBaseIndex, snapshotIndex - limits.retainedEntries());
+        while (bytesBetween(drop, snapshotIndex) > limits.retainedBytes()) {
+            drop++;
+        }
+        return drop;
+    }
+
     /**
      * Installs a snapshot from another member.
      *
@@ -130,6 +150,7 @@
             dropThrough(snapshot.index());
         } else {
             mEntries.clear();
+            mEndOffsets.clear();
             mMemberships.clear();
             mBaseIndex = snapshot.index();
             mBaseTerm = snapshot.term();
@@ -146,10 +167,19 @@
 
     private void dropThrough(long index) {
         mBaseTerm = termAt(index).orElseThrow();
-        mEntries.subList(0, Math.toIntExact(index - mBaseIndex)).clear();
+        mBaseOffset = endOffset(index);
+        int dropped = Math.toIntExact(index - mBaseIndex);
+        mEntries.subList(0, dropped).clear();
+        mEndOffsets.subList(0, dropped).clear();
         mBaseIndex = index;
     }
 
+    private long endOffset(long index) {
+        return index <= mBaseIndex
+                ? mBaseOffset
+                : mEndOffsets.get(Math.toIntExact(index - mBaseIndex - 1));
+    }
+
     private static int size(Entry entry) {
         return entry.content() instanceof EntryContent.Command command ? command.data().length : 0;
     }
--- a/consensus/src/main/java/org/ibisstand/consensus/MemberState.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberState.java
@@ -172,7 +172,7 @@
     void compact(long index, byte[] encoded) {
         boolean isNewer = mLog.snapshot().map(Snapshot::index).orElse(0L) < index;
         if (isNewer && index <= mCommitIndex) {
-            Snapshot snapshot = mLog.compact(index, encoded, mLimits.retainedEntries());
+            Snapshot snapshot = mLog.compact(index, encoded, mLimits);
             mOutbox.save(snapshot, true);
         }
     }
--- a/consensus/src/main/java/org/ibisstand/consensus/Replication.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Replication.java
@@ -14,7 +14,7 @@
         mState = state;
     }
 
-    /** Sends the entries that the member is missing, within the unacknowledged-entries limit. */
+    /** Sends the entries that the member is missing, within the limits on unacknowledged ones. */
     void sendEntries(MemberIdentifier member, Progress progress, long round) {
         if (isSelf(member) || progress.isProbing() || progress.snapshotIndex() != 0) {
             return;
@@ -98,8 +98,11 @@
     }
 
     private boolean hasRoom(Progress progress) {
-        long unacknowledged = progress.nextIndex() - 1 - progress.matchIndex();
-        return unacknowledged < mState.limits().unacknowledgedEntries();
+        long sentIndex = progress.nextIndex() - 1;
+        long unacknowledged = sentIndex - progress.matchIndex();
+        long bytes = mState.log().bytesBetween(progress.matchIndex(), sentIndex);
+        return unacknowledged < mState.limits().unacknowledgedEntries()
+                && bytes < mState.limits().unacknowledgedBytes();
     }
 
     private boolean isSelf(MemberIdentifier member) {
--- a/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
@@ -44,7 +44,7 @@
         mSafetyRules = rules;
         mFaultTarget = FaultTarget.values()[mRandom.nextInt(FaultTarget.values().length)];
         int window = 1 + mRandom.nextInt(16);
-        mLimits = new Limits(1 + mRandom.nextInt(4), 200, window, 64, mRandom.nextInt(6));
+        mLimits = limits(mRandom, window);
         List<Member> initialMembers = new ArrayList<>();
         for (int number = 0; number < size; number++) {
             MemberIdentifier identifier = newIdentifier();
@@ -58,6 +58,21 @@
                 new Input.Form(Membership.of(initialMembers, "group"), bootstrapMember.state()));
     }
 
+    private static Limits limits(Random random, int window) {
+        int entriesInMessage = 1 + random.nextInt(4);
+        int retainedEntries = random.nextInt(6);
+        int unacknowledgedBytes = Long.BYTES * (1 + random.nextInt(16));
+        int retainedBytes = Long.BYTES * random.nextInt(6);
+        return new Limits(
+                entriesInMessage,
+                200,
+                window,
+                unacknowledgedBytes,
+                64,
+                retainedEntries,
+                retainedBytes);
+    }
+
     MemberIdentifier newIdentifier() {
         return MemberIdentifier.of("member", mMembers.size() + 1);
     }
--- a/control/src/main/java/org/ibisstand/control/CommandProposer.java
+++ b/control/src/main/java/org/ibisstand/control/CommandProposer.java
@@ -15,9 +15,13 @@
 final class CommandProposer {
     static final int MAXIMUM_OPEN_COMMANDS = 10_000;
 
+    /** A quarter of the smallest heap that a member runs with; each command is held in copies. */
+    static final long MAXIMUM_OPEN_BYTES = 16 << 20;
+
     private final Log mLog;
     private final Clock mClock;
     private int mOpenCount;
+    private long mOpenBytes;
 
     private CommandProposer(Log log, Clock clock) {
         mLog = log;
@@ -30,21 +34,28 @@
 
     /**
      * Proposes a command. The future fails with the error code of a refusal, with OVERLOADED if too
-     * many proposals are open, or as {@link Log#propose} does.
+     * many proposals or too large ones are open, or as {@link Log#propose} does.
      */
     CompletableFuture<CommandResult> propose(Command.Builder command) {
-        if (mOpenCount >= MAXIMUM_OPEN_COMMANDS) {
+        byte[] bytes = command.setNowMilliseconds(mClock.millis()).build().toByteArray();
+        boolean isTooLarge = mOpenCount > 0 && mOpenBytes + bytes.length > MAXIMUM_OPEN_BYTES;
+        if (mOpenCount >= MAXIMUM_OPEN_COMMANDS || isTooLarge) {
             return CompletableFuture.failedFuture(
                     new IbisstandException(
                             ErrorCode.OVERLOADED, "too many commands are waiting for the log"));
         }
         mOpenCount++;
-        byte[] bytes = command.setNowMilliseconds(mClock.millis()).build().toByteArray();
+        mOpenBytes += bytes.length;
         return mLog.propose(bytes)
-                .whenComplete((result, failure) -> mOpenCount--)
+                .whenComplete((result, failure) -> closed(bytes.length))
                 .thenApply(CommandProposer::toResult);
     }
 
+    private void closed(int bytes) {
+        mOpenCount--;
+        mOpenBytes -= bytes;
+    }
+
     int openCount() {
         return mOpenCount;
     }
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -1,6 +1,6 @@
 package org.ibisstand.control;
 
-import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -15,6 +15,7 @@
 import java.util.function.Supplier;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.control.message.Command;
+import org.ibisstand.control.message.CommandResult;
 import org.ibisstand.control.message.NameWeights;
 import org.ibisstand.control.message.PutRouting;
 import org.ibisstand.fleet.CrashReportCodec;
@@ -44,6 +45,7 @@
     private final ControlState mState;
     private final Log mLog;
     private final CommandProposer mProposer;
+    private final RoutingChanges mRoutingChanges;
     private final Clock mClock;
     private final ServerDirectory mDirectory;
     private final FleetWatchers mWatchers;
@@ -72,6 +74,9 @@
         mState = state;
         mLog = log;
         mProposer = proposer;
+        mRoutingChanges =
+                new RoutingChanges(
+                        routing -> mProposer.propose(Command.newBuilder().setPutRouting(routing)));
         mClock = clock;
         mAddress = address;
         Duration interval = Duration.ofMillis(settings.timing().announcementMilliseconds());
@@ -91,19 +96,19 @@
      * Puts a routing configuration in force unless an equal or higher version already is.
      *
      * @param version the version that the operator chose
-     * @param json the configuration as JSON in the format of this project
-     * @param source the operator's document, returned unchanged to readers
-     * @return the version in force once the change is committed; fails with NOT_LEADER, NO_QUORUM
-     *     or OUTCOME_UNKNOWN
+     * @param json the configuration as JSON in the format of this project, not changed any more
+     * @param source the operator's document, returned unchanged to readers and not changed any more
+     * @return the version in force once the change is committed; fails with NOT_LEADER, NO_QUORUM,
+     *     OVERLOADED or OUTCOME_UNKNOWN
      */
     public CompletableFuture<Long> putRouting(long version, byte[] json, byte[] source) {
         PutRouting routing =
                 PutRouting.newBuilder()
                         .setVersion(version)
-                        .setJson(ByteString.copyFrom(json))
-                        .setSource(ByteString.copyFrom(source))
+                        .setJson(UnsafeByteOperations.unsafeWrap(json))
+                        .setSource(UnsafeByteOperations.unsafeWrap(source))
                         .build();
-        return propose(Command.newBuilder().setPutRouting(routing))
+        return callOnControlThread(() -> versionOf(mRoutingChanges.add(routing)))
                 .whenComplete((versionInForce, failure) -> logChange("routing", version, failure));
     }
 
@@ -116,7 +121,11 @@
      */
     public CompletableFuture<Long> nameWeights(String model, long version) {
         NameWeights weights = NameWeights.newBuilder().setModel(model).setVersion(version).build();
-        return propose(Command.newBuilder().setNameWeights(weights))
+        return callOnControlThread(
+                        () ->
+                                versionOf(
+                                        mProposer.propose(
+                                                Command.newBuilder().setNameWeights(weights))))
                 .whenComplete((newestVersion, failure) -> logChange("weights", version, failure));
     }
 
@@ -323,16 +332,13 @@
         line.write();
     }
 
-    private CompletableFuture<Long> propose(Command.Builder command) {
-        return callOnControlThread(
-                () ->
-                        mProposer
-                                .propose(command)
-                                .thenApply(
-                                        result -> {
-                                            mWatchers.flush();
-                                            return result.getRouting().getVersion();
-                                        }));
+    /** Returns the version in force after a change, and sends it to the watchers. */
+    private CompletableFuture<Long> versionOf(CompletableFuture<CommandResult> change) {
+        return change.thenApply(
+                result -> {
+                    mWatchers.flush();
+                    return result.getRouting().getVersion();
+                });
     }
 
     private <T> CompletableFuture<T> callOnControlThread(Supplier<CompletableFuture<T>> task) {
--- a/control/src/main/java/org/ibisstand/control/FleetWatchers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetWatchers.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.EngineNotices;
@@ -18,11 +19,19 @@
  * writable again.
  */
 final class FleetWatchers {
+    /**
+     * The size of updates that may wait to be written to connections; other watchers get theirs
+     * with the next flush. A large configuration times the number of gateways exceeds the memory of
+     * a member.
+     */
+    private static final long UNWRITTEN_BYTES_LIMIT = 8 << 20;
+
     private final ControlState mState;
     private final ServerDirectory mDirectory;
     private final Supplier<List<String>> mMemberAddresses;
     private final Clock mClock;
     private final Map<WireConnection, SentState> mWatchers = new LinkedHashMap<>();
+    private final AtomicLong mUnwrittenBytes = new AtomicLong();
 
     FleetWatchers(
             ControlState state,
@@ -73,18 +82,28 @@
                                     members,
                                     entries,
                                     isComplete);
-                    if (current.equals(sent) || !connection.isWritable()) {
+                    if (current.equals(sent)
+                            || !connection.isWritable()
+                            || mUnwrittenBytes.get() >= UNWRITTEN_BYTES_LIMIT) {
                         return sent;
                     }
                     FleetUpdate update =
                             updates.computeIfAbsent(
                                     sent.updateKey(), key -> createUpdate(key, current));
-                    connection.send(
-                            current.correlation(), Frame.newBuilder().setFleetUpdate(update));
+                    send(connection, current.correlation(), update);
                     return current;
                 });
     }
 
+    private void send(WireConnection connection, long correlation, FleetUpdate update) {
+        int bytes = update.getSerializedSize();
+        mUnwrittenBytes.addAndGet(bytes);
+        connection.send(
+                correlation,
+                Frame.newBuilder().setFleetUpdate(update),
+                () -> mUnwrittenBytes.addAndGet(-bytes));
+    }
+
     /** Sends engine states to all watchers; a watcher that reads slowly misses them. */
     void sendEngineNotices(EngineNotices notices) {
         mWatchers.forEach(
--- a/wire/src/main/java/org/ibisstand/wire/WireConnection.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireConnection.java
@@ -128,6 +128,19 @@
         write(complete(frame, correlation));
     }
 
+    /**
+     * Sends a frame that the sender counts until it is written.
+     *
+     * @param correlation the request that the frame belongs to
+     * @param frame the frame; its correlation is set here
+     * @param onWritten runs on any thread once the frame has left this process or is dropped
+     */
+    public void send(long correlation, Frame.Builder frame, Runnable onWritten) {
+        mChannel.writeAndFlush(complete(frame, correlation))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+                .addListener(written -> onWritten.run());
+    }
+
     /**
      * Looks for silence from now on as if a request were always open, for messages that nobody
      * answers.
