Refuse requests that may outlast the stop of a gateway

Cause: nothing asked whether a request or its retry ends before the process does, and at the end all connections were just closed.

Change: while a gateway stops, StopPolicy compares the time limit of each request, or the longest duration of its route of late, with the time that is left. A request that may not end in time is refused unrun with 503 and Retry-After 0. What is in progress at the end is answered with 502 or 503.

It works as every request and retry passes the check, on new and on kept connections.

--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -115,6 +115,12 @@
         }
     }
 
+    /** Answers the request in progress, as the gateway stops and cannot wait for its response. */
+    void gatewayStops() {
+        mCloseAfterResponse = true;
+        mInProgress.ifPresent(RequestForwarder::gatewayStops);
+    }
+
     @Override
     public void sendFull(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
         DefaultFullHttpResponse response =
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -21,6 +21,8 @@
     /** In force until a configuration is known; the same as the default in configurations. */
     private static final int DEFAULT_MAXIMUM_BODY_BYTES = 4 << 20;
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final GatewaySettings mSettings;
     private final HeaderNames mHeaderNames;
     private final PromptReader mPromptReader;
@@ -42,7 +44,8 @@
     private Optional<RouteTable> mRouteTable = Optional.empty();
     private final WeightsHistory mWeightsHistory = new WeightsHistory();
     private int mGatewayCount = 1;
-    private volatile boolean mDraining;
+    private final RouteDurations mRouteDurations = new RouteDurations();
+    private volatile long mStopsAt = NEVER;
     private volatile boolean mConfigured;
 
     GatewayContext(
@@ -112,11 +115,24 @@
     }
 
     boolean isDraining() {
-        return mDraining;
+        return mStopsAt != NEVER;
     }
 
     void drain() {
-        mDraining = true;
+        mStopsAt = now() + mSettings.stopMilliseconds();
+    }
+
+    /** Returns whether a request will end before this gateway stops, if it does. */
+    boolean endsBeforeStop(AdmittedRequest request) {
+        return !isDraining()
+                || StopPolicy.endsInTime(
+                        request.remainingMilliseconds(),
+                        mRouteDurations.longest(request.route().name(), now()),
+                        mStopsAt - now());
+    }
+
+    RouteDurations routeDurations() {
+        return mRouteDurations;
     }
 
     GatewaySettings settings() {
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -66,6 +66,9 @@
      */
     private static final long ACCEPT_TIME_DIVISOR = 7;
 
+    /** Time to write short answers; within the margin between the stop time and the kill. */
+    private static final long LAST_ANSWERS_MILLISECONDS = 50;
+
     /** How long the event loop may take to shut down; it closes remaining connections at once. */
     private static final long SHUTDOWN_SECONDS = 1;
 
@@ -207,7 +210,7 @@
         mEventLoops
                 .next()
                 .schedule(
-                        () -> done.complete(null),
+                        () -> endRequests(done),
                         mSettings.stopMilliseconds(),
                         TimeUnit.MILLISECONDS);
         mEventLoops
@@ -237,6 +240,21 @@
         List.copyOf(mGateway.callers()).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /** Answers the requests that are still in progress and leaves time to send the answers. */
+    private void endRequests(CompletableFuture<Void> done) {
+        List<CallerConnection> callers = List.copyOf(mGateway.callers());
+        if (!callers.isEmpty()) {
+            LogLine.warning("gateway_stops").with("connections", callers.size()).write();
+        }
+        callers.forEach(CallerConnection::gatewayStops);
+        mEventLoops
+                .next()
+                .schedule(
+                        () -> done.complete(null),
+                        LAST_ANSWERS_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void completeIfIdle(CompletableFuture<Void> done) {
         if (mGateway.callers().isEmpty()) {
             done.complete(null);
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -109,7 +109,12 @@
                                         Math.max(0, admitted.remainingMilliseconds()),
                                         TimeUnit.MILLISECONDS));
         mGateway.retryBudget(admitted.serviceName()).recordRequest();
-        startAttempt();
+        if (mGateway.endsBeforeStop(admitted)) {
+            startAttempt();
+        } else {
+            mGateway.metrics().incrementCounter("stop_refusals");
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "gateway_stops");
+        }
     }
 
     /**
@@ -354,6 +359,7 @@
         }
         endAttempt(attempt);
         HttpHeaders headers = EndToEndHeaders.copyOf(head.headers(), Set.of());
+        recordDuration();
         logDone(head.status().code(), attempt.server().name(), "answered");
         finish();
         mResponseWriter.sendFull(head.status(), headers, body);
@@ -370,13 +376,20 @@
 
     void streamCompleted(Attempt attempt) {
         endAttempt(attempt);
+        recordDuration();
         logDone(HttpResponseStatus.OK.code(), attempt.server().name(), "streamed");
         finish();
         mRelay.ifPresent(StreamRelay::end);
     }
 
+    private void recordDuration() {
+        mGateway.routeDurations()
+                .record(route().name(), mLog.elapsedMilliseconds(), mGateway.now());
+    }
+
     private boolean tryAcquireRetry() {
-        boolean hasTime = admitted().remainingMilliseconds() > 0;
+        boolean hasTime =
+                admitted().remainingMilliseconds() > 0 && mGateway.endsBeforeStop(admitted());
         return hasTime
                 && mAttemptCount < route().maximumAttempts()
                 && mGateway.retryBudget(admitted().serviceName())
@@ -409,17 +422,31 @@
         }
     }
 
-    private void deadlineExpired() {
-        if (mDone) {
-            return;
+    /**
+     * Ends the request because the gateway stops: a caller whose connection just closed could not
+     * tell whether the request ran.
+     */
+    void gatewayStops() {
+        if (!mDone) {
+            cancelAttempt();
+            fail("gateway_stops");
         }
-        boolean wasSent = mAttempt.filter(Attempt::isSent).isPresent();
-        mMayHaveExecuted |= wasSent;
+    }
+
+    private void cancelAttempt() {
+        mMayHaveExecuted |= mAttempt.filter(Attempt::isSent).isPresent();
         mAttempt.ifPresent(
                 attempt -> {
                     attempt.cancel();
                     endAttempt(attempt);
                 });
+    }
+
+    private void deadlineExpired() {
+        if (mDone) {
+            return;
+        }
+        cancelAttempt();
         if (mRelay.filter(StreamRelay::isStarted).isPresent()) {
             fail("time_over");
         } else if (mMayHaveExecuted) {
@@ -435,13 +462,20 @@
             headers.set(mGateway.headerNames().requestIdentifier(), mRequest.identifier());
         }
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            headers.set("Retry-After", RetryAfter.headerValue(mGateway.random()));
+            headers.set("Retry-After", retryAfter());
         }
         logDone(status.code(), "", reason);
         finish();
         mResponseWriter.sendFull(status, headers, Unpooled.EMPTY_BUFFER);
     }
 
+    /** Other gateways serve at once what a stopping one refuses. */
+    private String retryAfter() {
+        return mGateway.isDraining()
+                ? RetryAfter.AT_ONCE
+                : RetryAfter.headerValue(mGateway.random());
+    }
+
     void endAttempt(Attempt attempt) {
         mRunMover.cancelMove();
         attempt.release();
--- a/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
@@ -14,6 +14,9 @@
     /** Spreads the retries of callers that were rejected together. */
     private static final double JITTER_SECONDS = 0.3;
 
+    /** For requests that can be served elsewhere immediately. */
+    static final String AT_ONCE = "0";
+
     private RetryAfter() {}
 
     /** Returns the delay in seconds, with three decimals. */
--- /dev/null
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayStopTest.java
@@ -0,0 +1,156 @@
+package org.ibisstand.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.ibisstand.gateway.ScriptedServer.completeResponse;
+import static org.ibisstand.gateway.ScriptedServer.write;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ibisstand.base.MonotonicClock;
+import org.ibisstand.fleet.FleetState;
+import org.ibisstand.settings.Route.Repetition;
+import org.ibisstand.wire.message.ServerRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against requests that a stopping gateway takes late, passes on, and cuts at the end of its
+ * stop time without an answer. The routes allow requests two seconds, the stop one and a half.
+ */
+class GatewayStopTest {
+    private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
+    private static final String HEAD =
+            "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\n"
+                    + "Authorization: Bearer key\r\nContent-Length: 4\r\n";
+    private static final String BODY = "sent";
+
+    private final List<ScriptedServer> mServers = new ArrayList<>();
+    private final GatewayDaemon mGateway =
+            GatewayDaemon.start(
+                    Samples.SETTINGS,
+                    Samples.HEADER_NAMES,
+                    headers -> Optional.empty(),
+                    Samples.RUN_MOVE_PROTOCOL,
+                    MonotonicClock.start(),
+                    new MetricRegistry());
+
+    @AfterEach
+    void close() {
+        mGateway.close();
+        mServers.forEach(ScriptedServer::close);
+    }
+
+    /** How a request arrives at a gateway that stops. */
+    enum Arrival {
+        NEW_CONNECTION(""),
+        HEAD_IN_PROGRESS(HEAD),
+        BODY_IN_PROGRESS(HEAD + "\r\n" + "se");
+
+        private final String mSentBeforeStop;
+
+        Arrival(String sentBeforeStop) {
+            mSentBeforeStop = sentBeforeStop;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aRequestThatMayOutlastTheStopIsRefusedBeforeItRuns(Arrival arrival) throws IOException {
+        startServer(Repetition.ONCE, (request, identifier, connection) -> {});
+        try (Socket caller = connect()) {
+            write(caller, arrival.mSentBeforeStop);
+            mGateway.drain();
+            write(caller, (HEAD + "\r\n" + BODY).substring(arrival.mSentBeforeStop.length()));
+
+            String response = read(caller);
+
+            assertThat(response).startsWith("HTTP/1.1 503");
+            assertThat(response).contains("Retry-After: 0\r\n");
+            assertThat(mServers.getFirst().requests()).isEmpty();
+        }
+    }
+
+    @Test
+    void aRequestOfARouteThatIsFastOfLateIsServedDuringTheStop() throws IOException {
+        startServer(Repetition.ONCE, completeResponse(200, "x-signature: s\r\n", "served"));
+        try (Socket first = connect();
+                Socket second = connect()) {
+            write(first, HEAD + "Connection: close\r\n\r\n" + BODY);
+            assertThat(read(first)).endsWith("served");
+
+            mGateway.drain();
+            write(second, HEAD + "\r\n" + BODY);
+
+            assertThat(read(second)).endsWith("served");
+        }
+    }
+
+    @Test
+    void aRequestOnAKeptConnectionIsRefusedOnceItMayOutlastTheStop() throws IOException {
+        startServer(Repetition.ONCE, (request, identifier, connection) -> {});
+        try (Socket caller = connect()) {
+            write(caller, HEAD + "x-deadline: 100\r\n\r\n" + BODY);
+            write(caller, HEAD + "\r\n" + BODY);
+            mGateway.drain();
+
+            String responses = read(caller);
+
+            assertThat(responses).startsWith("HTTP/1.1 504");
+            assertThat(mServers.getFirst().requests()).hasSize(1);
+        }
+    }
+
+    @Test
+    void aRequestInProgressAtTheEndOfTheStopIsAnsweredThatItMayHaveRun() throws IOException {
+        startServer(Repetition.ONCE, (request, identifier, connection) -> {});
+        try (Socket caller = connect()) {
+            write(caller, HEAD + "\r\n" + BODY);
+            while (mServers.getFirst().requests().isEmpty()) {
+                Thread.onSpinWait();
+            }
+
+            mGateway.drain().join();
+
+            assertThat(read(caller)).startsWith("HTTP/1.1 502");
+        }
+    }
+
+    private void startServer(Repetition repetition, ScriptedServer.Script script) {
+        ScriptedServer server = ScriptedServer.start(script);
+        mServers.add(server);
+        ServerRecord record =
+                ServerRecord.newBuilder()
+                        .setServer("server")
+                        .setService("service")
+                        .setAddress(server.address())
+                        .setSlots(4)
+                        .build();
+        FleetState state =
+                new FleetState(
+                        Optional.of(
+                                Samples.configuration(List.of(Samples.route("/p/", repetition)))),
+                        Map.of(),
+                        List.of(record),
+                        1);
+        mGateway.update(state).join();
+    }
+
+    private Socket connect() throws IOException {
+        Socket caller = new Socket(InetAddress.getLoopbackAddress(), mGateway.port());
+        caller.setSoTimeout(READ_TIMEOUT_MILLISECONDS);
+        return caller;
+    }
+
+    private static String read(Socket caller) throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+}
