Bound the memory of all callers' bodies together

Cause: each body was held from its first byte until its request had ended, in one buffer a chunk, and nothing limited the sum.

A request that does not fit is refused unrun with 503, before its body is read where its length is known. Bodies are kept in one buffer each. The rest of a refused body is dropped for a second before the connection closes, and a refused request no longer cuts off the one in progress before it.

It works as what is refused has not run, and what is taken fits the heap.

--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -1,10 +1,8 @@
 package org.ibisstand.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -27,6 +25,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.RoutingConfiguration.CallerLimits;
 
 /**
@@ -37,14 +37,24 @@
     /** Reading pauses at this many requests that wait for the one in progress. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
 
+    /** A longer body grows its buffer, so that one that is announced and not sent costs little. */
+    private static final int MAXIMUM_INITIAL_BODY_BYTES = 64 << 10;
+
+    /**
+     * How long the rest of a rejected request is read and dropped. Closing a connection with unread
+     * bytes would reset it and take the response away from the caller.
+     */
+    private static final long REJECTED_REST_MILLISECONDS = 1_000;
+
     private final GatewayContext mGateway;
     private final Deque<CallerRequest> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
     private Optional<HttpRequest> mHead = Optional.empty();
-    private CompositeByteBuf mBody = Unpooled.compositeBuffer();
+    private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private long mHeadReceivedAt;
     private long mLastActiveAt;
     private Optional<RequestForwarder> mInProgress = Optional.empty();
+    private int mInProgressBytes;
     private boolean mCloseAfterResponse;
     private boolean mRejected;
 
@@ -65,10 +75,28 @@
         Optional<RequestForwarder> inProgress = mInProgress;
         mInProgress = Optional.empty();
         inProgress.ifPresent(RequestForwarder::callerDisconnected);
-        mPipelined.forEach(request -> request.body().release());
+        releaseInProgress();
+        mPipelined.forEach(this::drop);
         mPipelined.clear();
+        dropBody();
+    }
+
+    private void drop(CallerRequest request) {
+        mGateway.callerBodies().remove(request.body().capacity());
+        request.body().release();
+    }
+
+    /** Drops the body that is being received. */
+    private void dropBody() {
+        mGateway.callerBodies().remove(mBody.capacity());
         mBody.release();
-        mBody = Unpooled.compositeBuffer(1);
+        mBody = Unpooled.EMPTY_BUFFER;
+    }
+
+    /** Frees the memory of the request in progress, whose forwarder has released its body. */
+    private void releaseInProgress() {
+        mGateway.callerBodies().remove(mInProgressBytes);
+        mInProgressBytes = 0;
     }
 
     @Override
@@ -87,6 +115,8 @@
             mLastActiveAt = mGateway.now();
             if (!mRejected) {
                 read((HttpObject) message);
+            } else if (message instanceof LastHttpContent && mInProgress.isEmpty()) {
+                mChannel.close();
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -128,7 +158,7 @@
                         HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
         HttpUtil.setContentLength(response, body.readableBytes());
         setConnectionHeader(headers);
-        mChannel.writeAndFlush(response).addListener(written -> responseSent());
+        mChannel.writeAndFlush(response).addListener(written -> responseSent(written.isSuccess()));
     }
 
     @Override
@@ -147,12 +177,13 @@
     @Override
     public void finish() {
         mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                .addListener(written -> responseSent());
+                .addListener(written -> responseSent(written.isSuccess()));
     }
 
     @Override
     public void abort() {
         mInProgress = Optional.empty();
+        releaseInProgress();
         mChannel.close();
     }
 
@@ -186,8 +217,18 @@
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
+        long length = HttpUtil.getContentLength(head, 0L);
+        if (length > mGateway.maximumBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        if (!mGateway.callerBodies().hasRoomFor(length)) {
+            rejectForMemory(length);
+            return;
+        }
         mHead = Optional.of(head);
         mHeadReceivedAt = mGateway.now();
+        growBody((int) Math.min(length, MAXIMUM_INITIAL_BODY_BYTES));
         if (HttpUtil.is100ContinueExpected(head)) {
             mChannel.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -204,7 +245,12 @@
             return;
         }
         if (content.content().isReadable()) {
-            mBody.addComponent(true, content.content().retain());
+            growBody(mBody.readableBytes() + content.content().readableBytes());
+            mBody.writeBytes(content.content());
+            if (!mGateway.callerBodies().hasRoomFor(0)) {
+                rejectForMemory(mBody.readableBytes());
+                return;
+            }
         }
         if (content instanceof LastHttpContent) {
             HttpRequest head = mHead.get();
@@ -217,13 +263,35 @@
                             head.headers(),
                             mBody,
                             mHeadReceivedAt));
-            mBody = Unpooled.compositeBuffer();
+            mBody = Unpooled.EMPTY_BUFFER;
             mHead = Optional.empty();
             mChannel.config().setAutoRead(mPipelined.size() < MAXIMUM_PIPELINED_REQUESTS);
             serveNext();
         }
     }
 
+    /**
+     * Gives the body room for this many bytes. Copies it to a larger buffer, as a caller may send
+     * many small chunks, which would each hold a buffer of their own.
+     */
+    private void growBody(int bytes) {
+        if (bytes <= mBody.capacity()) {
+            return;
+        }
+        int doubled = Math.min(2 * mBody.capacity(), mGateway.maximumBodyBytes());
+        ByteBuf larger = Unpooled.buffer(Math.max(bytes, doubled));
+        larger.writeBytes(mBody, mBody.readerIndex(), mBody.readableBytes());
+        dropBody();
+        mBody = larger;
+        mGateway.callerBodies().add(mBody.capacity());
+    }
+
+    private void rejectForMemory(long bytes) {
+        mGateway.metrics().incrementCounter("body_refusals");
+        LogLine.info("body_refused").with("bytes", bytes).write();
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     private void serveNext() {
         if (mInProgress.isPresent() || mPipelined.isEmpty() || !mChannel.isActive()) {
             return;
@@ -232,6 +300,7 @@
         mCloseAfterResponse |= !keepsAlive(request) || mGateway.isDraining();
         RequestForwarder forwarder = new RequestForwarder(mGateway, request, this);
         mInProgress = Optional.of(forwarder);
+        mInProgressBytes = request.body().capacity();
         forwarder.start();
     }
 
@@ -240,10 +309,11 @@
                 .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
     }
 
-    private void responseSent() {
+    private void responseSent(boolean isWritten) {
         mInProgress = Optional.empty();
+        releaseInProgress();
         mLastActiveAt = mGateway.now();
-        if (mCloseAfterResponse) {
+        if (mCloseAfterResponse || !isWritten) {
             mChannel.close();
             return;
         }
@@ -258,20 +328,29 @@
         }
     }
 
-    /** Rejects an invalid request and closes, since the start of the next one is unknown. */
+    /**
+     * Rejects a request and closes, since the start of the next one is unknown or far away. A
+     * request before it that is still in progress is answered first.
+     */
     private void reject(HttpResponseStatus status) {
         mRejected = true;
         mHead = Optional.empty();
-        mBody.release();
-        mBody = Unpooled.compositeBuffer();
+        dropBody();
         if (mInProgress.isPresent()) {
-            mChannel.close();
+            mCloseAfterResponse = true;
             return;
         }
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(response, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers()
+                    .set(HttpHeaderNames.RETRY_AFTER, RetryAfter.headerValue(mGateway.random()));
+        }
+        mChannel.writeAndFlush(response);
+        mChannel.eventLoop()
+                .schedule(
+                        () -> mChannel.close(), REJECTED_REST_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -36,6 +36,7 @@
     private final ServerPlacement mServerPlacement;
     private final PromptPlacement mPromptPlacement;
     private final BufferedResponses mBufferedResponses = new BufferedResponses();
+    private final CallerBodies mCallerBodies = new CallerBodies();
     private final GatewayMetrics mMetrics;
     private final PartQuarantine mPartQuarantine;
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
@@ -191,6 +192,10 @@
         return mBufferedResponses;
     }
 
+    CallerBodies callerBodies() {
+        return mCallerBodies;
+    }
+
     GatewayMetrics metrics() {
         return mMetrics;
     }
