Count incomplete events and unread responses with the buffered ones

Cause: an incomplete event was bounded in each stream, up to 256 KiB, and not in all of them together. A response left the count when it was complete, although a caller may read it slowly.

Change: BufferedResponses counts buffered bodies, incomplete events and responses that are not written yet, 24 MiB together, and drops the largest over the limit. A response that cannot be written closes its connection.

Evidence: GatewayMemoryTest.manyUnboundedEventsLeaveOtherCallersServed ended the gateway with 400 such streams before, with and without uploads beside them, and passes now, with UnboundedResponseTest.

It works as the sum of all that waits is below the heap, and the response that is given up is the one that most likely has no end.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -12,7 +12,7 @@
  * One attempt to serve a request at one backend server. Reads the response and reports whether the
  * request completed, did not run, or may have run.
  */
-final class Attempt implements ExchangeListener {
+final class Attempt implements ExchangeListener, BufferedResponses.Holder {
     /** Responses other than streams are buffered until they are complete; larger ones fail. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
@@ -110,9 +110,9 @@
             mReleased = true;
             removePendingTokens();
             mServer.attemptEnded(this);
-            mGateway.bufferedResponses().recordRelease(this, bufferedBytes());
             mBody.release();
             mBody = Unpooled.EMPTY_BUFFER;
+            mGateway.bufferedResponses().update(this, 0);
         }
     }
 
@@ -163,13 +163,8 @@
         }
     }
 
-    /** Returns the bytes of memory allocated for the buffered response body. */
-    int bufferedBytes() {
-        return mBody.capacity();
-    }
-
-    /** Fails the attempt because the buffered responses of all requests take too much memory. */
-    void discardBuffered() {
+    @Override
+    public void discardBuffered() {
         mForwarder.attemptFailed(this, "overlong_answers", true);
     }
 
@@ -254,6 +249,10 @@
             mForwarder.attemptFailed(this, "overlong_event", true);
             return;
         }
+        mGateway.bufferedResponses().update(this, relay.bufferedBytes());
+        if (mReleased) {
+            return;
+        }
         if (relay.isStarted()) {
             recordResponse();
         }
@@ -266,12 +265,9 @@
     }
 
     private void bufferBody(ByteBuf data) {
-        int bytesBefore = bufferedBytes();
         mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
         mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
-        if (bufferedBytes() > bytesBefore) {
-            mGateway.bufferedResponses().recordGrowth(this, bufferedBytes() - bytesBefore);
-        }
+        mGateway.bufferedResponses().update(this, mBody.capacity());
     }
 
     private boolean isSuccess() {
--- a/gateway/src/main/java/org/ibisstand/gateway/BufferedResponses.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BufferedResponses.java
@@ -1,36 +1,41 @@
 package org.ibisstand.gateway;
 
 import java.util.Comparator;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
- * Counts the memory of all responses that are buffered until they are complete. Over the limit, the
- * largest one is rejected, since it is the most likely to be endless. Confined to the gateway's
- * event loop.
+ * Counts the memory of the parts of responses that are held: bodies and events until they are
+ * complete, and bodies until a caller has read them. Over the limit, the largest one is dropped,
+ * since it is the most likely to be endless. Confined to the gateway's event loop.
  */
 final class BufferedResponses {
-    /** Four responses of the maximum size, a third of the heap of a gateway. */
-    static final int MAXIMUM_BYTES = 32 << 20;
+    /** Three responses of the maximum size, a quarter of the heap of a gateway. */
+    static final int MAXIMUM_BYTES = 24 << 20;
 
-    private final Set<Attempt> mAttempts = new LinkedHashSet<>();
+    private final Map<Holder, Integer> mBytesByHolder = new LinkedHashMap<>();
     private long mBytes;
 
-    /** Adds bytes that an attempt newly buffers. */
-    void recordGrowth(Attempt attempt, int bytes) {
-        mAttempts.add(attempt);
-        mBytes += bytes;
-        if (mBytes > MAXIMUM_BYTES) {
-            mAttempts.stream()
-                    .max(Comparator.comparingInt(Attempt::bufferedBytes))
-                    .ifPresent(Attempt::discardBuffered);
-        }
+    /** Holds a part of a response. */
+    interface Holder {
+        /** Gives up the response, because those of all requests take too much memory. */
+        void discardBuffered();
     }
 
-    /** Removes the bytes of an attempt that no longer buffers anything. */
-    void recordRelease(Attempt attempt, int bytes) {
-        if (mAttempts.remove(attempt)) {
-            mBytes -= bytes;
+    /** Sets the number of bytes that a holder holds now; drops the largest one over the limit. */
+    void update(Holder holder, int bytes) {
+        boolean hasGrown = bytes > mBytesByHolder.getOrDefault(holder, 0);
+        set(holder, bytes);
+        if (hasGrown && mBytes > MAXIMUM_BYTES) {
+            mBytesByHolder.entrySet().stream()
+                    .max(Comparator.comparingInt(Map.Entry::getValue))
+                    .ifPresent(largest -> largest.getKey().discardBuffered());
         }
     }
+
+    private void set(Holder holder, int bytes) {
+        Integer before =
+                bytes > 0 ? mBytesByHolder.put(holder, bytes) : mBytesByHolder.remove(holder);
+        mBytes += bytes - (before == null ? 0 : before);
+    }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -158,7 +158,22 @@
                         HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
         HttpUtil.setContentLength(response, body.readableBytes());
         setConnectionHeader(headers);
-        mChannel.writeAndFlush(response).addListener(written -> responseSent(written.isSuccess()));
+        UnsentBody unsent = new UnsentBody();
+        mGateway.bufferedResponses().update(unsent, body.capacity());
+        mChannel.writeAndFlush(response)
+                .addListener(
+                        written -> {
+                            mGateway.bufferedResponses().update(unsent, 0);
+                            responseSent(written.isSuccess());
+                        });
+    }
+
+    /** The body of a response that the caller has not read yet. */
+    private final class UnsentBody implements BufferedResponses.Holder {
+        @Override
+        public void discardBuffered() {
+            mChannel.close();
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/EventSplitter.java
@@ -66,6 +66,11 @@
         return mIncompleteEvent.isReadable();
     }
 
+    /** Returns the bytes of memory allocated for the incomplete event. */
+    int bufferedBytes() {
+        return mIncompleteEvent.capacity();
+    }
+
     /** Returns whether the incomplete event exceeds the size limit. */
     boolean isOverlong() {
         return mIncompleteEvent.readableBytes() > mMaximumEventBytes;
--- a/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/StreamRelay.java
@@ -59,6 +59,11 @@
         return !mSplitter.isOverlong();
     }
 
+    /** Returns the bytes of memory allocated for an incomplete event. */
+    int bufferedBytes() {
+        return mSplitter.bufferedBytes();
+    }
+
     /** Returns whether the caller reads as fast as events are sent. */
     boolean isCallerWritable() {
         return mResponseWriter.isWritable();
--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayMemoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayMemoryTest.java
@@ -31,15 +31,19 @@
  * requests of other callers with it. The gateway runs with the memory of the platform's.
  */
 class GatewayMemoryTest {
+    private static final String SIGNED_OK = "HTTP/1.1 200 X\r\nx-signature: s\r\n";
     private static final int READ_TIMEOUT_MILLISECONDS = 30_000;
     private static final int UPLOADS = 40;
+    private static final int STREAMS = 400;
     private static final int SMALL_REQUESTS = 30;
 
+    /** More than one incomplete event may take, so that each stream holds as much as it can. */
+    private static final int EVENT_BYTES = 250_000;
+
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final ScriptedServer mSound =
             ScriptedServer.start(completeResponse(200, "x-signature: s\r\n", "served"));
-    private final ScriptedServer mFaulty =
-            ScriptedServer.start((request, identifier, connection) -> {});
+    private final ScriptedServer mFaulty = ScriptedServer.start(this::respondWithoutEnd);
     private Process mGateway;
     private int mPort;
 
@@ -107,6 +111,24 @@
         assertGatewayRuns();
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, UPLOADS})
+    void manyUnboundedEventsLeaveOtherCallersServed(int uploads) throws Exception {
+        List<Future<String>> calls = new ArrayList<>();
+        for (int stream = 0; stream < STREAMS; stream++) {
+            calls.add(mThreads.submit(() -> call(GatewayProcess.FAULTY_STREAM_PATH)));
+        }
+        for (int upload = 0; upload < uploads; upload++) {
+            calls.add(mThreads.submit(() -> upload(false)));
+        }
+
+        smallRequestsAreServed();
+        for (Future<String> call : calls) {
+            call.get();
+        }
+        assertGatewayRuns();
+    }
+
     private void smallRequestsAreServed() throws IOException {
         for (int request = 0; request < SMALL_REQUESTS; request++) {
             assertThat(call(GatewayProcess.SOUND_PATH)).startsWith("HTTP/1.1 200");
@@ -119,6 +141,15 @@
         assertWithMessage("the gateway runs").that(mGateway.isAlive()).isTrue();
     }
 
+    /** Sends the first part of an event and nothing more; calls are never answered. */
+    private void respondWithoutEnd(String request, String identifier, Socket connection)
+            throws IOException {
+        if (request.contains(GatewayProcess.FAULTY_STREAM_PATH)) {
+            write(connection, SIGNED_OK + "x-request: " + identifier + "\r\n\r\ndata: ");
+            write(connection, "x".repeat(EVENT_BYTES));
+        }
+    }
+
     private String upload(boolean chunked) throws IOException {
         byte[] body = new byte[GatewayProcess.MAXIMUM_BODY_BYTES];
         String framing =
