Bound what an agent holds of its engine's answers

Callers see: an agent that runs out of memory on one answer of a faulty engine ends by itself, again and again, and weights and cache news of that engine stop (found while checking a report of bytes without end).

Cause: an answer of up to 4 MiB was kept as a tree of values, which takes many times its size with small values, in a heap of 40 MB. Lines of an engine's event stream that came faster than they were handled had no limit.

LineReader ends a response with a line of over 2 MiB, or with over 6 MiB that wait.

It works as each answer now takes a bounded part of the heap, however its bytes are chosen.

--- a/agent/src/main/java/org/ibisstand/agent/CacheIndexUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/CacheIndexUpdater.java
@@ -49,7 +49,12 @@
     void start() {
         LineReader reader =
                 new LineReader(
-                        line -> mControlThread.execute(() -> onLine(line)),
+                        (line, handled) ->
+                                mControlThread.execute(
+                                        () -> {
+                                            onLine(line);
+                                            handled.run();
+                                        }),
                         () ->
                                 mControlThread.schedule(
                                         this::start,
