Read the weights header where the response is read

Attempt, which reads the head and the events of a response, now records the weights version that they state, and RetryAfter knows what a stopping gateway answers.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import org.ibisstand.base.LogLine;
 
 /**
  * One attempt to serve a request at one backend server. Reads the response and reports whether the
@@ -72,6 +73,21 @@
                 .isPresent();
     }
 
+    /** Records the weights version that the server stated in its response. */
+    private void recordWeights(String version) {
+        if (mPrompt.isEmpty() || version.isEmpty() || version.length() >= Integer.SIZE / 2) {
+            return;
+        }
+        try {
+            mServer.recordResponseWeights(mPrompt.get().model(), Long.parseLong(version));
+        } catch (NumberFormatException e) {
+            LogLine.info("weights_unreadable")
+                    .with("server", mServer.name())
+                    .with("text", version)
+                    .write();
+        }
+    }
+
     /** Returns the model that the request asks for; empty if it has no prompt. */
     Optional<String> model() {
         return mPrompt.map(Prompt::model);
@@ -140,7 +156,7 @@
         Optional.ofNullable(head.headers().get(mGateway.headerNames().serverLoad()))
                 .flatMap(text -> ServerLoad.parse(text, mGateway.now()))
                 .ifPresent(mServer::updateLoad);
-        mForwarder.recordWeights(mServer, head.headers().get(mGateway.headerNames().weights(), ""));
+        recordWeights(head.headers().get(mGateway.headerNames().weights(), ""));
         if (isSuccess() && !hasSignature()) {
             mForwarder.attemptFailed(this, "unsigned_answer", true);
         } else if (isSuccess() && mForwarder.route().isStream()) {
@@ -256,7 +272,7 @@
         if (relay.isStarted()) {
             recordResponse();
         }
-        relay.changedWeights().ifPresent(text -> mForwarder.recordWeights(mServer, text));
+        relay.changedWeights().ifPresent(this::recordWeights);
         if (!relay.isCallerWritable()) {
             setReading(false);
         } else if (mServer.shouldMoveRuns(mGateway.now())) {
--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -361,7 +361,9 @@
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             response.headers()
-                    .set(HttpHeaderNames.RETRY_AFTER, RetryAfter.headerValue(mGateway.random()));
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            RetryAfter.headerValue(mGateway.isDraining(), mGateway.random()));
         }
         mChannel.writeAndFlush(response);
         mChannel.eventLoop()
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -199,18 +199,6 @@
         scheduleResponseTimeout(attempt);
     }
 
-    /** Records the weights version that a server stated in its response. */
-    void recordWeights(BackendServer server, String version) {
-        Optional<Prompt> prompt = admitted().prompt();
-        if (prompt.isPresent() && !version.isEmpty() && version.length() < Integer.SIZE / 2) {
-            try {
-                server.recordResponseWeights(prompt.get().model(), Long.parseLong(version));
-            } catch (NumberFormatException e) {
-                mLog.event("weights_unreadable", "text", version);
-            }
-        }
-    }
-
     /**
      * Retries an idempotent call if the response has not begun after the route's latency objective
      * or half of the remaining time, whichever is shorter. Connections can go silent without a
@@ -462,20 +450,15 @@
             headers.set(mGateway.headerNames().requestIdentifier(), mRequest.identifier());
         }
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            headers.set("Retry-After", retryAfter());
+            headers.set(
+                    "Retry-After",
+                    RetryAfter.headerValue(mGateway.isDraining(), mGateway.random()));
         }
         logDone(status.code(), "", reason);
         finish();
         mResponseWriter.sendFull(status, headers, Unpooled.EMPTY_BUFFER);
     }
 
-    /** Other gateways serve at once what a stopping one refuses. */
-    private String retryAfter() {
-        return mGateway.isDraining()
-                ? RetryAfter.AT_ONCE
-                : RetryAfter.headerValue(mGateway.random());
-    }
-
     void endAttempt(Attempt attempt) {
         mRunMover.cancelMove();
         attempt.release();
--- a/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
@@ -14,13 +14,16 @@
     /** Spreads the retries of callers that were rejected together. */
     private static final double JITTER_SECONDS = 0.3;
 
-    /** For requests that can be served elsewhere immediately. */
-    static final String AT_ONCE = "0";
-
     private RetryAfter() {}
 
-    /** Returns the delay in seconds, with three decimals. */
-    static String headerValue(RandomGenerator random) {
+    /**
+     * Returns the delay in seconds, with three decimals. Other gateways serve at once what one that
+     * stops refuses.
+     */
+    static String headerValue(boolean isStopping, RandomGenerator random) {
+        if (isStopping) {
+            return "0";
+        }
         double seconds = MINIMUM_DELAY_SECONDS + JITTER_SECONDS * random.nextDouble();
         return String.format(Locale.ROOT, "%.3f", seconds);
     }
