Decide at the edge what names a backend server, and skip odd records inside

A gateway parsed each record again, where one exception ended the update of all. A record with a high sequence, or another name at a server's address, outranked the server although nobody repeated it.

BackendDirectory skips a record that it cannot use and logs it. ServerDirectory listens again to a server whose record was outranked or displaced by one that is not repeated, and keeps 20,000 servers at most.

--- a/control/src/main/java/org/ibisstand/control/ServerDirectory.java
+++ b/control/src/main/java/org/ibisstand/control/ServerDirectory.java
@@ -29,6 +29,9 @@
     /** How long a server that left is remembered: longer than an announcement can be delayed. */
     private static final Duration GONE_SERVER_RETENTION = Duration.ofSeconds(60);
 
+    /** Many times the servers of the largest fleet; bounds what announcements can make it keep. */
+    private static final int MAXIMUM_SERVERS = 20_000;
+
     private final Duration mAnnouncementTimeout;
     private final Instant mCompleteAt;
     private final Map<String, ServerEntry> mServers = new TreeMap<>();
@@ -64,7 +67,10 @@
      */
     boolean merge(ServerRecord announced, Instant now) {
         ServerEntry known = mServers.get(announced.getServer());
-        if (known != null && !isNewer(announced, known.record())) {
+        if (known == null && mServers.size() >= MAXIMUM_SERVERS) {
+            return false;
+        }
+        if (known != null && !isNewer(announced, known) && !isBackAfterSilence(announced, known)) {
             if (isSameIncarnation(announced, known.record())
                     && announced.getSequence() == known.record().getSequence()) {
                 known.mLastAnnounced = now;
@@ -170,7 +176,8 @@
                 .toList();
     }
 
-    private boolean isNewer(ServerRecord record, ServerRecord known) {
+    private static boolean isNewer(ServerRecord record, ServerEntry entry) {
+        ServerRecord known = entry.mRecord;
         if (!isSameIncarnation(record, known)) {
             return record.getBornMilliseconds() > known.getBornMilliseconds();
         }
@@ -180,14 +187,35 @@
         return record.getState() == State.GONE || record.getSequence() > known.getSequence();
     }
 
-    /** Returns whether a server that started later has announced itself at the same address. */
-    private boolean isReplacedAtAddress(ServerRecord record) {
-        String currentServer = mServersByAddress.get(record.getAddress());
-        if (currentServer == null || currentServer.equals(record.getServer())) {
+    /**
+     * Returns whether a server announces itself again that another writer's record outranks or
+     * displaced: that record has not been repeated, whereas servers repeat theirs.
+     */
+    private boolean isBackAfterSilence(ServerRecord record, ServerEntry entry) {
+        if (!isSameIncarnation(record, entry.mRecord) || record.getState() == State.GONE) {
             return false;
         }
-        ServerEntry entry = mServers.get(currentServer);
-        return entry != null && entry.mRecord.getBornMilliseconds() > record.getBornMilliseconds();
+        return entry.mDisplaced
+                ? record.getSequence() > entry.mRecord.getSequence()
+                        && otherServerAt(record).filter(other -> !other.mUnlisted).isEmpty()
+                : entry.mUnlisted
+                        && entry.mRecord.getState() != State.GONE
+                        && record.getSequence() < entry.mRecord.getSequence();
+    }
+
+    /** Returns whether a server that started later announces itself at the same address. */
+    private boolean isReplacedAtAddress(ServerRecord record) {
+        return otherServerAt(record)
+                .filter(other -> !other.mUnlisted)
+                .filter(other -> other.mRecord.getBornMilliseconds() > record.getBornMilliseconds())
+                .isPresent();
+    }
+
+    /** Returns another server that announced itself last at the address of a record. */
+    private Optional<ServerEntry> otherServerAt(ServerRecord record) {
+        return Optional.ofNullable(mServersByAddress.get(record.getAddress()))
+                .filter(server -> !server.equals(record.getServer()))
+                .map(mServers::get);
     }
 
     // A server that is draining never becomes ready again in the same incarnation.
@@ -211,6 +239,7 @@
                 && entry.mRecord.getAddress().equals(record.getAddress())
                 && entry.mRecord.getState() != State.GONE) {
             entry.mRecord = entry.mRecord.toBuilder().setState(State.GONE).build();
+            entry.mDisplaced = true;
             entry.mLastAnnounced = now;
             entry.mRevision = ++mRevision;
         }
@@ -233,6 +262,7 @@
         private Instant mLastAnnounced;
         private long mRevision;
         private boolean mUnlisted;
+        private boolean mDisplaced;
 
         ServerEntry(ServerRecord record, Instant lastAnnounced, long revision) {
             mRecord = record;
--- a/control/src/test/java/org/ibisstand/control/ServerDirectoryTest.java
+++ b/control/src/test/java/org/ibisstand/control/ServerDirectoryTest.java
@@ -67,6 +67,48 @@
         assertThat(stateOf("b")).isEqualTo(State.READY);
     }
 
+    /** Guards against one record of another writer that keeps a server out for good. */
+    @Test
+    void aServerOutlivesARecordThatOutranksItsOwn() {
+        mDirectory.merge(record("a", 1, 1, State.READY), START_TIME);
+        mDirectory.merge(record("a", 1, 1_000_000, State.READY), START_TIME);
+        Instant afterTimeout = advanceClock(ANNOUNCEMENT_INTERVAL.multipliedBy(5));
+
+        mDirectory.merge(record("a", 1, 6, State.READY), afterTimeout);
+
+        assertThat(mDirectory.records()).hasSize(1);
+    }
+
+    /** Guards against one record of another writer that takes the address of a server for good. */
+    @Test
+    void aServerOutlivesARecordThatTookItsAddress() {
+        mDirectory.merge(record("a", 1, 1, State.READY), START_TIME);
+        mDirectory.merge(
+                record("b", 2, 1, State.READY).toBuilder().setAddress("10.0.0.1:1").build(),
+                START_TIME);
+        mDirectory.merge(record("a", 1, 2, State.READY), START_TIME);
+        assertThat(stateOf("a")).isEqualTo(State.GONE);
+        Instant afterTimeout = advanceClock(ANNOUNCEMENT_INTERVAL.multipliedBy(5));
+
+        mDirectory.merge(record("a", 1, 7, State.READY), afterTimeout);
+
+        assertThat(stateOf("a")).isEqualTo(State.READY);
+    }
+
+    @Test
+    void theNumberOfServersIsBounded() {
+        for (int server = 0; server < 21_000; server++) {
+            ServerRecord record =
+                    record("a", 1, 1, State.READY).toBuilder()
+                            .setServer("server-" + server)
+                            .setAddress("10.0.0.1:" + server)
+                            .build();
+            mDirectory.merge(record, START_TIME);
+        }
+
+        assertThat(mDirectory.records().size()).isAtMost(20_000);
+    }
+
     @Test
     void aServerThatStopsAnnouncingIsUnlistedUntilItAnnouncesAgain() {
         mDirectory.merge(record("a", 1, 1, State.READY), START_TIME);
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.RoutedService;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
@@ -25,12 +26,19 @@
     private int mGatewayCount = 1;
     private final Map<String, List<BackendServer>> mServersByService = new HashMap<>();
 
-    /** Adds or updates the servers that the control plane lists, and removes all others. */
+    /**
+     * Adds or updates the servers that the control plane lists, and removes all others. A record
+     * that cannot be used is skipped, so that the others are still followed.
+     */
     void update(Collection<ServerRecord> records, long now) {
         Set<String> listed = new HashSet<>();
         for (ServerRecord record : records) {
-            listed.add(record.getServer());
-            addOrUpdate(record, now);
+            if (BackendServer.isUsable(record)) {
+                listed.add(record.getServer());
+                addOrUpdate(record, now);
+            } else {
+                logSkipped(record);
+            }
         }
         mServersByName
                 .entrySet()
@@ -91,6 +99,13 @@
         return mServersByName.values();
     }
 
+    private static void logSkipped(ServerRecord record) {
+        LogLine.warning("server_record_skipped")
+                .with("server", record.getServer())
+                .with("address", record.getAddress())
+                .write();
+    }
+
     private void addOrUpdate(ServerRecord record, long now) {
         BackendServer existing = mServersByName.get(record.getServer());
         boolean isSameIncarnation =
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.message.EngineNotice;
@@ -67,6 +68,15 @@
         recordWeights(record.getWeightsMap(), "record");
     }
 
+    /** Returns whether a record names a server that requests can be sent to. */
+    static boolean isUsable(ServerRecord record) {
+        try {
+            return !record.getServer().isEmpty() && Address.parse(record.getAddress()).port() > 0;
+        } catch (IbisstandException e) {
+            return false;
+        }
+    }
+
     String name() {
         return mRecord.getServer();
     }
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -9,6 +9,8 @@
 import org.ibisstand.wire.message.ServerRecord;
 import org.ibisstand.wire.message.ServerRecord.State;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class BackendDirectoryTest {
     private static final RoutedService SERVICE =
@@ -16,6 +18,20 @@
 
     private final BackendDirectory mDirectory = new BackendDirectory();
 
+    /** Guards against one record that stops a gateway from following all others. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "nowhere", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", ":1"})
+    void aRecordThatCannotBeUsedIsSkipped(String address) {
+        ServerRecord sound =
+                ServerRecord.newBuilder().setServer("sound").setAddress("10.0.0.1:1").build();
+        ServerRecord odd = ServerRecord.newBuilder().setServer("odd").setAddress(address).build();
+
+        mDirectory.update(List.of(odd, sound), 0);
+
+        assertThat(mDirectory.servers().stream().map(BackendServer::name).toList())
+                .containsExactly("sound");
+    }
+
     @Test
     void allGatewaysTogetherStayWithinTheConnectionLimitOfAServer() {
         mDirectory.setGatewayCount(7);
