--- a/consensus/src/main/java/org/ibisstand/consensus/EntryLog.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/EntryLog.java
@@ -119,17 +119,31 @@
         mMemberships.tailMap(index, true).clear();
     }
 
-    /** Replaces the entries up to an index by a snapshot, and keeps some of them in memory. */
-    Snapshot compact(long index, byte[] state, Limits limits) {
+    /**
+     * Replaces the entries up to an index by a snapshot, and keeps some of them in memory.
+     *
+     * @param neededAfter the index after which a member needs the entries, if one does
+     */
+    Snapshot compact(long index, byte[] state, Limits limits, OptionalLong neededAfter) {
         Membership membership = membershipAt(index);
         long term = termAt(index).orElseThrow();
         Snapshot snapshot = new Snapshot(index, term, membership, state);
         setSnapshot(snapshot);
-        dropThrough(lastIndexToDrop(index, limits));
+        dropThrough(lastIndexToDrop(index, limits, neededAfter));
         return snapshot;
     }
 
     /** Returns the last index whose entry is not kept behind a snapshot. */
+    private long lastIndexToDrop(long snapshotIndex, Limits limits, OptionalLong neededAfter) {
+        if (neededAfter.isPresent()) {
+            long needed = Math.max(mBaseIndex, neededAfter.getAsLong());
+            if (bytesBetween(needed, snapshotIndex) <= limits.unacknowledgedBytes()) {
+                return Math.min(needed, lastIndexToDrop(snapshotIndex, limits));
+            }
+        }
+        return lastIndexToDrop(snapshotIndex, limits);
+    }
+
     private long lastIndexToDrop(long snapshotIndex, Limits limits) {
         long drop = Math.max(mBaseIndex, snapshotIndex - limits.retainedEntries());
         while (bytesBetween(drop, snapshotIndex) > limits.retainedBytes()) {
--- a/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
@@ -157,6 +157,14 @@
         return Map.copyOf(indexes);
     }
 
+    /** Returns the oldest snapshot that is being sent to a member, if any is. */
+    OptionalLong oldestSnapshotInTransfer() {
+        return mProgress.values().stream()
+                .mapToLong(Progress::snapshotIndex)
+                .filter(index -> index != 0)
+                .min();
+    }
+
     /** Returns for each other member how long it has not answered. */
     Map<MemberIdentifier, Duration> silences() {
         Map<MemberIdentifier, Duration> silences = new HashMap<>();
--- a/consensus/src/main/java/org/ibisstand/consensus/MemberState.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberState.java
@@ -172,7 +172,7 @@
     void compact(long index, byte[] encoded) {
         boolean isNewer = mLog.snapshot().map(Snapshot::index).orElse(0L) < index;
         if (isNewer && index <= mCommitIndex) {
-            Snapshot snapshot = mLog.compact(index, encoded, mLimits);
+            Snapshot snapshot = mLog.compact(index, encoded, mLimits, snapshotInTransfer());
             mOutbox.save(snapshot, true);
         }
     }
@@ -191,6 +191,13 @@
         return changed;
     }
 
+    /** Members that receive a snapshot need the entries after it next. */
+    private OptionalLong snapshotInTransfer() {
+        return mRole instanceof Role.Leader leader
+                ? leader.leadership().oldestSnapshotInTransfer()
+                : OptionalLong.empty();
+    }
+
     private OptionalLong ticketOf(long index) {
         return mRole instanceof Role.Leader leader
                 ? leader.leadership().takeTicket(index)
--- a/consensus/src/main/java/org/ibisstand/consensus/Replication.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Replication.java
@@ -2,13 +2,14 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Sends a leader's log to one member: entries, heartbeats, or a snapshot in parts. */
 final class Replication {
     private final MemberState mState;
-    private long mEncodedSnapshotIndex;
-    private byte[] mEncodedSnapshot = new byte[0];
+    // The snapshot that was sent last, also once a newer one replaces it in the log.
+    private Optional<EncodedSnapshot> mSent = Optional.empty();
 
     Replication(MemberState state) {
         mState = state;
@@ -53,13 +54,16 @@
         }
     }
 
-    /** Sends the next part of the snapshot being sent to the member. */
+    /**
+     * Sends the next part of the snapshot being sent to the member. A newer snapshot does not start
+     * the transfer over, which would never end while snapshots are taken faster than one is sent.
+     */
     void sendSnapshot(MemberIdentifier member, Progress progress) {
-        Snapshot snapshot = mState.log().snapshot().orElseThrow();
-        if (progress.snapshotIndex() != snapshot.index()) {
-            progress.startSnapshot(snapshot.index());
-        }
-        byte[] encoded = encoded(snapshot);
+        EncodedSnapshot sent =
+                mSent.filter(one -> one.snapshot().index() == progress.snapshotIndex())
+                        .orElseGet(() -> newest(progress));
+        Snapshot snapshot = sent.snapshot();
+        byte[] encoded = sent.bytes();
         int offset = Math.min(progress.snapshotOffset(), encoded.length);
         int end = Math.min(encoded.length, offset + mState.limits().snapshotChunkBytes());
         mState.outbox()
@@ -75,7 +79,7 @@
     }
 
     private void startSnapshot(MemberIdentifier member, Progress progress) {
-        progress.startSnapshot(mState.log().snapshot().orElseThrow().index());
+        newest(progress);
         sendSnapshot(member, progress);
     }
 
@@ -109,11 +113,16 @@
         return member.equals(mState.self());
     }
 
-    private byte[] encoded(Snapshot snapshot) {
-        if (mEncodedSnapshotIndex != snapshot.index()) {
-            mEncodedSnapshot = ContentCodec.encode(snapshot);
-            mEncodedSnapshotIndex = snapshot.index();
+    /** Starts a transfer of the newest snapshot. */
+    private EncodedSnapshot newest(Progress progress) {
+        Snapshot snapshot = mState.log().snapshot().orElseThrow();
+        if (mSent.filter(one -> one.snapshot().index() == snapshot.index()).isEmpty()) {
+            mSent = Optional.of(new EncodedSnapshot(snapshot, ContentCodec.encode(snapshot)));
         }
-        return mEncodedSnapshot;
+        progress.startSnapshot(snapshot.index());
+        return mSent.get();
     }
+
+    /** A snapshot as it is sent to members. */
+    private record EncodedSnapshot(Snapshot snapshot, byte[] bytes) {}
 }
--- a/consensus/src/test/java/org/ibisstand/consensus/EntryLogTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/EntryLogTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,7 +29,7 @@
             int commandBytes, int retainedEntries, int retainedBytes, int kept) {
         append(commandBytes);
 
-        mLog.compact(ENTRIES, STATE, limits(retainedEntries, retainedBytes));
+        mLog.compact(ENTRIES, STATE, limits(retainedEntries, retainedBytes), OptionalLong.empty());
 
         assertThat(availableEntries()).isEqualTo(kept);
     }
@@ -38,12 +39,30 @@
         Limits limits = limits(ENTRIES, 5_000);
         for (int round = 0; round < 20; round++) {
             append(1_000);
-            mLog.compact(mLog.lastIndex(), STATE, limits);
+            mLog.compact(mLog.lastIndex(), STATE, limits, OptionalLong.empty());
 
             assertThat(availableEntries()).isEqualTo(5);
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // index of the snapshot in transfer, entries that may be kept
+        "95, 5",
+        "92, 8",
+        "91, 2",
+        "10, 2",
+        "99, 2"
+    })
+    void entriesAfterASnapshotInTransferAreKeptUpToTheUnacknowledgedBytes(long index, int kept) {
+        append(1_000);
+        Limits limits = new Limits(1, 1, 1, 8_000, 1, ENTRIES, 2_000);
+
+        mLog.compact(ENTRIES, STATE, limits, OptionalLong.of(index));
+
+        assertThat(availableEntries()).isEqualTo(kept);
+    }
+
     @Test
     void sizesStayRightAfterATruncationAndASnapshotOfAnotherMember() {
         append(1_000);
--- a/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/SimulatedCluster.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -40,11 +41,16 @@
     private boolean mNetworkUnreliable;
 
     SimulatedCluster(long seed, int size, SafetyRules rules) {
+        this(seed, size, rules, Optional.empty());
+    }
+
+    /** Creates a cluster with the given limits, or with random ones. */
+    SimulatedCluster(long seed, int size, SafetyRules rules, Optional<Limits> limits) {
         mRandom = new Random(seed);
         mSafetyRules = rules;
         mFaultTarget = FaultTarget.values()[mRandom.nextInt(FaultTarget.values().length)];
         int window = 1 + mRandom.nextInt(16);
-        mLimits = limits(mRandom, window);
+        mLimits = limits.orElseGet(() -> limits(mRandom, window));
         List<Member> initialMembers = new ArrayList<>();
         for (int number = 0; number < size; number++) {
             MemberIdentifier identifier = newIdentifier();
@@ -74,7 +80,7 @@
     }
 
     MemberIdentifier newIdentifier() {
-        return MemberIdentifier.of("member", mMembers.size() + 1);
+        return MemberIdentifier.of("member-" + (mMembers.size() + 1), 1);
     }
 
     /** Returns a hash over the times of all events so far, to compare runs. */
