Give back the room of a body that is answered before its end

The rest of a refused body, up to 64 MiB in the test, counted towards the room for bodies of all calls until its connection closed, so that other calls got 503. BodyBudgetHandler releases it with the answer. CallServerTest sends such a body before three calls and passes.

--- a/administration/src/main/java/org/ibisstand/administration/BodyBudget.java
+++ b/administration/src/main/java/org/ibisstand/administration/BodyBudget.java
@@ -29,8 +29,4 @@
     void release(long bytes) {
         mReservedBytes.addAndGet(-bytes);
     }
-
-    long reservedBytes() {
-        return mReservedBytes.get();
-    }
 }
--- a/administration/src/main/java/org/ibisstand/administration/BodyBudgetHandler.java
+++ b/administration/src/main/java/org/ibisstand/administration/BodyBudgetHandler.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -30,7 +31,8 @@
     private final Deque<Long> mUnansweredBytes = new ArrayDeque<>();
     private long mArrivingBytes;
     private boolean mRefused;
-    private Future<?> mBodyTimeout;
+    private boolean mAnsweredEarly;
+    private Optional<Future<?>> mBodyTimeout = Optional.empty();
 
     BodyBudgetHandler(BodyBudget budget) {
         mBudget = budget;
@@ -42,7 +44,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (message instanceof HttpContent content) {
+        if (message instanceof HttpContent content && !mAnsweredEarly) {
             int bytes = content.content().readableBytes();
             if (!mBudget.tryReserve(bytes)) {
                 ReferenceCountUtil.release(message);
@@ -61,7 +63,11 @@
         boolean isAnswer =
                 message instanceof HttpResponse response
                         && response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
-        if (isAnswer && !mUnansweredBytes.isEmpty()) {
+        if (isAnswer && mUnansweredBytes.isEmpty()) {
+            // The rest of a request that is answered before its end is dropped and takes no room.
+            mAnsweredEarly = true;
+            releaseArriving();
+        } else if (isAnswer) {
             mBudget.release(mUnansweredBytes.removeFirst());
         }
         super.write(context, message, promise);
@@ -72,9 +78,13 @@
         stopTimeout();
         mUnansweredBytes.forEach(mBudget::release);
         mUnansweredBytes.clear();
+        releaseArriving();
+        super.channelInactive(context);
+    }
+
+    private void releaseArriving() {
         mBudget.release(mArrivingBytes);
         mArrivingBytes = 0;
-        super.channelInactive(context);
     }
 
     private void received(ChannelHandlerContext context, HttpContent content) {
@@ -82,21 +92,20 @@
             mUnansweredBytes.addLast(mArrivingBytes);
             mArrivingBytes = 0;
             stopTimeout();
-        } else if (mBodyTimeout == null) {
+        } else if (mBodyTimeout.isEmpty()) {
             mBodyTimeout =
-                    context.executor()
-                            .schedule(
-                                    () -> context.close(),
-                                    BODY_TIMEOUT_MILLISECONDS,
-                                    TimeUnit.MILLISECONDS);
+                    Optional.of(
+                            context.executor()
+                                    .schedule(
+                                            () -> context.close(),
+                                            BODY_TIMEOUT_MILLISECONDS,
+                                            TimeUnit.MILLISECONDS));
         }
     }
 
     private void stopTimeout() {
-        if (mBodyTimeout != null) {
-            mBodyTimeout.cancel(false);
-            mBodyTimeout = null;
-        }
+        mBodyTimeout.ifPresent(timeout -> timeout.cancel(false));
+        mBodyTimeout = Optional.empty();
     }
 
     private void refuse(ChannelHandlerContext context) {
--- a/administration/src/test/java/org/ibisstand/administration/CallServerTest.java
+++ b/administration/src/test/java/org/ibisstand/administration/CallServerTest.java
@@ -68,9 +68,15 @@
         }
     }
 
+    /** The rest of a refused body must not take the room of other calls. */
     @Test
-    void aBodyThatIsTooLargeIsRefused() throws IOException {
-        assertThat(statusOf(call(5 << 20))).isEqualTo(TOO_LARGE);
+    void aBodyThatIsTooLargeIsRefusedAndOtherCallsAreAnswered() throws IOException {
+        mAnswer.complete(Answer.of(OK));
+        assertThat(statusOf(call(64 << 20))).isEqualTo(TOO_LARGE);
+
+        for (int call = 0; call < 3; call++) {
+            assertThat(statusOf(call(BODY_BYTES))).isEqualTo(OK);
+        }
     }
 
     private CompletableFuture<Answer> handle(String method, String uri, byte[] body) {
