Log a change of voters that is refused again and again once

The leader asks for a change that is due with each tick, and each refusal wrote a line. Updates to frozen gateways count as unwritten until their connections close, so the limit for all updates is 16 MiB instead of 8. ReplicatedLogTest, FleetControlTest and LargeConfigurationsTest pass.

--- a/control/src/main/java/org/ibisstand/control/FleetWatchers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetWatchers.java
@@ -22,9 +22,10 @@
     /**
      * The size of updates that may wait to be written to connections; other watchers get theirs
      * with the next flush. A large configuration times the number of gateways exceeds the memory of
-     * a member.
+     * a member. Updates to frozen gateways stay unwritten until their connections are closed, so
+     * the limit leaves room for the others.
      */
-    private static final long UNWRITTEN_BYTES_LIMIT = 8 << 20;
+    private static final long UNWRITTEN_BYTES_LIMIT = 16 << 20;
 
     private final ControlState mState;
     private final ServerDirectory mDirectory;
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -73,6 +73,7 @@
     private Optional<IbisstandException> mFailure = Optional.empty();
     private long mAppliedIndex;
     private Optional<MembershipChange> mPendingVoterChange = Optional.empty();
+    private Optional<MembershipChange> mRefusedVoterChange = Optional.empty();
     private long mBytesSinceSnapshot;
 
     private ReplicatedLog(StateMachine stateMachine, LogContext context, OpenedLog opened) {
@@ -280,9 +281,17 @@
                                 .whenComplete((result, failure) -> votersChanged(change, failure)));
     }
 
-    /** Forgets the change; the policy asks again for one that failed if it is still due. */
+    /**
+     * Forgets the change; the policy asks again for one that failed if it is still due. Logs a
+     * change that fails again and again once.
+     */
     private void votersChanged(MembershipChange change, Throwable failure) {
         mPendingVoterChange = Optional.empty();
+        boolean wasLogged = failure != null && mRefusedVoterChange.equals(Optional.of(change));
+        mRefusedVoterChange = failure == null ? Optional.empty() : Optional.of(change);
+        if (wasLogged) {
+            return;
+        }
         LogLine line =
                 failure == null
                         ? LogLine.info("voters_changed")
