Name every request that a stop or a closed connection loses

The log could not tell why: lines of placed requests are the first to be dropped under load, gateway_drains counts requests and names none, a request that waits behind another leaves no line as its connection closes, an exception on a caller's connection closed it silently, and a task of a timer that failed was kept in a future that nobody reads; one of the stop would have kept the process from its end.

The stop now names what is in progress at the signal and at its end, its lines are not the first to drop, closed connections say who closed them and why, failed tasks and steps of the stop are logged and keep no other from running, and the gateway logs how its list of servers changes.

--- a/base/src/main/java/org/ibisstand/base/DaemonProcess.java
+++ b/base/src/main/java/org/ibisstand/base/DaemonProcess.java
@@ -84,7 +84,7 @@
         long stopsSince = System.nanoTime();
         LogLine.info("stopping").write();
         if (daemon instanceof Daemon graceful) {
-            graceful.stop().join();
+            stop(graceful);
         }
         daemon.close();
         LogLine.info("stopped")
@@ -92,6 +92,15 @@
                 .write();
     }
 
+    /** A stop that fails is logged, so that the daemon is closed all the same. */
+    private static void stop(Daemon daemon) {
+        try {
+            daemon.stop().join();
+        } catch (RuntimeException e) {
+            LogLine.error("stop_failed").cause(e).write();
+        }
+    }
+
     private synchronized void stopOrEnd(Signal signal) {
         if (mStop.getCount() == 0) {
             Runtime.getRuntime().halt(SIGNAL_EXIT_BASE + signal.getNumber());
--- a/base/src/test/java/org/ibisstand/base/DaemonProcessTest.java
+++ b/base/src/test/java/org/ibisstand/base/DaemonProcessTest.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -51,12 +54,50 @@
         assertThat(mCalls).containsExactly("reload", "stop", "close").inOrder();
     }
 
+    /** How the stop of a daemon fails. */
+    enum StopFailure {
+        AT_ONCE {
+            @Override
+            CompletableFuture<Void> stop() {
+                throw new IllegalStateException("unexpected");
+            }
+        },
+        LATER {
+            @Override
+            CompletableFuture<Void> stop() {
+                return CompletableFuture.failedFuture(new IllegalStateException("unexpected"));
+            }
+        };
+
+        abstract CompletableFuture<Void> stop();
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aDaemonIsClosedAfterItsStopFailed(StopFailure failure) throws Exception {
+        Signal.raise(STOP);
+
+        mProcess.runSupervised(new RecordingDaemon(failure::stop), () -> {});
+
+        assertThat(mCalls).containsExactly("stop", "close").inOrder();
+    }
+
     /** Records the calls to it. */
     private final class RecordingDaemon implements Daemon {
+        private final Supplier<CompletableFuture<Void>> mStop;
+
+        RecordingDaemon() {
+            this(() -> CompletableFuture.completedFuture(null));
+        }
+
+        RecordingDaemon(Supplier<CompletableFuture<Void>> stop) {
+            mStop = stop;
+        }
+
         @Override
         public CompletableFuture<Void> stop() {
             mCalls.add("stop");
-            return CompletableFuture.completedFuture(null);
+            return mStop.get();
         }
 
         @Override
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -46,6 +46,7 @@
                         server -> {
                             boolean isDelisted = !listed.contains(server.getKey());
                             if (isDelisted) {
+                                logChanged("server_unlisted", server.getValue());
                                 server.getValue().markRemoved(now);
                             }
                             return isDelisted;
@@ -113,15 +114,33 @@
                         && existing.record().getBornMilliseconds() == record.getBornMilliseconds()
                         && existing.record().getAddress().equals(record.getAddress());
         if (isSameIncarnation) {
+            ServerRecord.State previous = existing.record().getState();
             existing.update(record, now);
+            if (record.getState() != previous) {
+                logChanged("server_state_changed", existing);
+            }
             if (!existing.acceptsRequests()) {
                 existing.closeIdleConnections();
             }
             return;
         }
         if (existing != null) {
+            logChanged("server_replaced", existing);
             existing.markRemoved(now);
         }
-        mServersByName.put(record.getServer(), new BackendServer(record));
+        BackendServer server = new BackendServer(record);
+        mServersByName.put(record.getServer(), server);
+        logChanged("server_listed", server);
+    }
+
+    private static void logChanged(String event, BackendServer server) {
+        LogLine.info(event)
+                .with("server", server.name())
+                .with("address", server.address())
+                .with("state", server.record().getState())
+                .with("born", server.record().getBornMilliseconds())
+                .with("sequence", server.record().getSequence())
+                .with("in_flight", server.inFlight())
+                .write();
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -22,11 +22,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.settings.RoutingConfiguration.CallerLimits;
 
 /**
@@ -49,6 +51,8 @@
     /** A connection that was just opened brings its first request within this time. */
     private static final long FIRST_REQUEST_MILLISECONDS = 1_000;
 
+    private static final String CLOSED_BY_CALLER = "closed_by_caller";
+
     private final GatewayContext mGateway;
     private final Deque<CallerRequest> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
@@ -59,6 +63,7 @@
     private Optional<RequestForwarder> mInProgress = Optional.empty();
     private int mInProgressBytes;
     private boolean mCloseAfterResponse;
+    private String mCloseReason = CLOSED_BY_CALLER;
     private boolean mRejected;
     private boolean mUsed;
     private long mOpenedAt;
@@ -80,7 +85,7 @@
         mGateway.callers().remove(this);
         Optional<RequestForwarder> inProgress = mInProgress;
         mInProgress = Optional.empty();
-        inProgress.ifPresent(RequestForwarder::callerDisconnected);
+        inProgress.ifPresent(forwarder -> forwarder.callerDisconnected(mCloseReason));
         releaseInProgress();
         mPipelined.forEach(this::drop);
         mPipelined.clear();
@@ -88,6 +93,7 @@
     }
 
     private void drop(CallerRequest request) {
+        new RequestLog(mGateway, request).dropped(mCloseReason);
         mGateway.callerBodies().remove(request.body().capacity());
         request.body().release();
     }
@@ -107,7 +113,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        context.close();
+        if (!(cause instanceof IOException)) {
+            LogLine.error("caller_connection_failed").cause(cause).write();
+        }
+        close(String.valueOf(cause.getMessage()));
+    }
+
+    /** Closes the connection and remembers why, for the requests that lose their response. */
+    private void close(String reason) {
+        mCloseReason = reason;
+        mChannel.close();
     }
 
     @Override
@@ -123,7 +138,7 @@
             if (!mRejected) {
                 read((HttpObject) message);
             } else if (message instanceof LastHttpContent && mInProgress.isEmpty()) {
-                mChannel.close();
+                close("request_rejected");
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -140,7 +155,7 @@
         if (mHead.isPresent() && now - mHeadReceivedAt > limits.idleTimeoutMilliseconds()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (mHead.isEmpty() && now - mLastActiveAt > limits.idleTimeoutMilliseconds()) {
-            mChannel.close();
+            close("idle");
         }
     }
 
@@ -155,9 +170,13 @@
             return;
         }
         if (mUsed || untilUnused <= 0) {
-            mChannel.close();
+            close("gateway_stops");
         } else {
-            mChannel.eventLoop().schedule(this::closeWhenIdle, untilUnused, TimeUnit.MILLISECONDS);
+            mChannel.eventLoop()
+                    .schedule(
+                            LoggedTask.of("close_when_idle", this::closeWhenIdle),
+                            untilUnused,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -171,6 +190,14 @@
         return mHead.isPresent();
     }
 
+    /** Logs the requests that were read whole and whose responses are not sent whole. */
+    void logInProgress() {
+        mInProgress.ifPresent(RequestForwarder::logInProgress);
+        mPipelined.forEach(
+                request ->
+                        new RequestLog(mGateway, request).inProgress(Optional.empty(), 0, false));
+    }
+
     /** Records how long the request in progress has taken until now. */
     void recordDuration() {
         mInProgress.ifPresent(inProgress -> inProgress.recordDuration(false));
@@ -211,7 +238,7 @@
     private final class UnsentBody implements BufferedResponses.Holder {
         @Override
         public void discardBuffered() {
-            mChannel.close();
+            close("response_memory");
         }
     }
 
@@ -238,7 +265,7 @@
     public void abort() {
         mInProgress = Optional.empty();
         releaseInProgress();
-        mChannel.close();
+        close("response_cut");
     }
 
     @Override
@@ -367,8 +394,12 @@
         mInProgress = Optional.empty();
         releaseInProgress();
         mLastActiveAt = mGateway.now();
-        if (mCloseAfterResponse || !isWritten) {
-            mChannel.close();
+        if (!isWritten) {
+            close("response_not_written");
+            return;
+        }
+        if (mCloseAfterResponse) {
+            close("response_announced_close");
             return;
         }
         mChannel.config().setAutoRead(true);
@@ -404,6 +435,8 @@
         mChannel.writeAndFlush(response);
         mChannel.eventLoop()
                 .schedule(
-                        () -> mChannel.close(), REJECTED_REST_MILLISECONDS, TimeUnit.MILLISECONDS);
+                        () -> close("request_rejected"),
+                        REJECTED_REST_MILLISECONDS,
+                        TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayDaemon.java
@@ -27,6 +27,7 @@
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.fleet.FleetFollower;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.wire.WireContext;
@@ -104,13 +105,13 @@
                 new FleetFollower(wire, mControlThread, true, this::update, this::updateEngines);
         mServerChannel = listen();
         loop.scheduleWithFixedDelay(
-                this::checkCallerTimeouts,
+                LoggedTask.of("check_callers", this::checkCallerTimeouts),
                 CHECK_INTERVAL_MILLISECONDS,
                 CHECK_INTERVAL_MILLISECONDS,
                 TimeUnit.MILLISECONDS);
         SilentServerDetector silentServers = new SilentServerDetector(mGateway);
         loop.scheduleWithFixedDelay(
-                silentServers::check,
+                LoggedTask.of("check_silent_servers", silentServers::check),
                 SILENCE_CHECK_INTERVAL_MILLISECONDS,
                 SILENCE_CHECK_INTERVAL_MILLISECONDS,
                 TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 
 /**
  * Stops a gateway step by step: it takes connections for a while, finishes its requests, and
@@ -36,10 +38,10 @@
     /** Begins the stop; completes once no connection is left, or after the stop time. */
     CompletableFuture<Void> start() {
         long stopMilliseconds = mGateway.settings().stopMilliseconds();
-        mGateway.loop().execute(this::begin);
-        mGateway.loop()
-                .schedule(this::stopAccepting, acceptingMilliseconds(), TimeUnit.MILLISECONDS);
-        mGateway.loop().schedule(this::endRequests, stopMilliseconds, TimeUnit.MILLISECONDS);
+        mGateway.loop().execute(LoggedTask.of("begin_stop", this::begin));
+        schedule("stop_accepting", this::stopAccepting, acceptingMilliseconds());
+        schedule("end_requests", this::endRequests, stopMilliseconds);
+        schedule("end_stop", this::end, stopMilliseconds + LAST_ANSWERS_MILLISECONDS);
         mGateway.loop()
                 .scheduleWithFixedDelay(
                         this::completeIfIdle,
@@ -49,12 +51,24 @@
         return mDone;
     }
 
+    private void schedule(String name, Runnable task, long delayMilliseconds) {
+        mGateway.loop()
+                .schedule(LoggedTask.of(name, task), delayMilliseconds, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a step for each caller; one that fails keeps no other from it. */
+    private void forEachCaller(String name, Consumer<CallerConnection> step) {
+        List.copyOf(mGateway.callers())
+                .forEach(caller -> LoggedTask.of(name, () -> step.accept(caller)).run());
+    }
+
     private void begin() {
         mGateway.stopRefusals().setCallers(mGateway.callers().size());
         countCallers(LogLine.info("gateway_drains"))
                 .with("milliseconds", mGateway.settings().stopMilliseconds())
                 .with("accepting_ms", acceptingMilliseconds())
                 .write();
+        forEachCaller("log_request", CallerConnection::logInProgress);
     }
 
     private long acceptingMilliseconds() {
@@ -64,23 +78,23 @@
     /** Requests that arrive from now on might not finish before the stop time ends. */
     private void stopAccepting() {
         mServerChannel.close();
-        List.copyOf(mGateway.callers()).forEach(CallerConnection::closeWhenIdle);
+        forEachCaller("close_when_idle", CallerConnection::closeWhenIdle);
     }
 
-    /** Answers the requests that are still in progress and leaves time to send the answers. */
+    /** Answers the requests that are still in progress; the answers have a moment to be sent. */
     private void endRequests() {
-        List<CallerConnection> callers = List.copyOf(mGateway.callers());
-        if (!callers.isEmpty()) {
+        if (!mGateway.callers().isEmpty()) {
             countCallers(LogLine.warning("gateway_stops"))
                     .with("after_ms", mGateway.drainingMilliseconds())
                     .write();
         }
-        callers.forEach(CallerConnection::gatewayStops);
-        mGateway.loop()
-                .schedule(
-                        () -> mDone.complete(null),
-                        LAST_ANSWERS_MILLISECONDS,
-                        TimeUnit.MILLISECONDS);
+        forEachCaller("end_request", CallerConnection::gatewayStops);
+    }
+
+    /** Names the responses that their callers do not have whole, and completes. */
+    private void end() {
+        forEachCaller("log_request", CallerConnection::logInProgress);
+        mDone.complete(null);
     }
 
     private void completeIfIdle() {
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.settings.Route;
 
 /**
@@ -64,7 +65,7 @@
                     Optional.of(
                             mGateway.loop()
                                     .schedule(
-                                            this::checkAdmission,
+                                            LoggedTask.of("check_admission", this::checkAdmission),
                                             CONFIGURATION_WAIT_MILLISECONDS,
                                             TimeUnit.MILLISECONDS));
         } else {
@@ -84,10 +85,10 @@
         }
     }
 
-    /** Cancels the request because the caller closed its connection. */
-    void callerDisconnected() {
+    /** Cancels the request because the connection of its caller closed for a reason. */
+    void callerDisconnected(String reason) {
         if (!mDone) {
-            mLog.event("caller_left", "after_ms", mLog.elapsedMilliseconds());
+            mLog.callerLeft(reason);
             mGateway.metrics().incrementCounter("callers_left");
             finish();
         }
@@ -104,7 +105,7 @@
                 Optional.of(
                         mGateway.loop()
                                 .schedule(
-                                        this::deadlineExpired,
+                                        LoggedTask.of("expire_deadline", this::deadlineExpired),
                                         Math.max(0, admitted.remainingMilliseconds()),
                                         TimeUnit.MILLISECONDS));
         mGateway.retryBudget(admitted.serviceName()).recordRequest();
@@ -219,6 +220,11 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Logs that the request, or the rest of its response, is still in progress. */
+    void logInProgress() {
+        mLog.inProgress(mAttempt, mAttemptCount, mDone);
+    }
+
     /** Returns the mover of this request's run. */
     RunMover runMover() {
         return mRunMover;
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestLog.java
@@ -6,6 +6,8 @@
 
 /** Writes the log lines of one request, one for each decision; see docs/OPERATIONS.md. */
 final class RequestLog {
+    private static final String DRAINING_KEY = "draining_ms";
+
     private final GatewayContext mGateway;
     private final CallerRequest mRequest;
     private Optional<Failure> mLastFailure = Optional.empty();
@@ -63,11 +65,16 @@
      */
     private record Failure(String server, String reason, String endedBy) {}
 
-    /** Returns whether a line reports the placement or success of a request. */
+    /**
+     * Returns whether a line reports the placement or success of a request. While the gateway
+     * stops, none is routine: the process may be ended by force before it writes another one.
+     */
     static boolean isRoutine(String line) {
-        return line.contains("event=placed")
-                || line.contains("outcome=answered")
-                || line.contains("outcome=streamed");
+        boolean isOrdinary =
+                line.contains("event=placed")
+                        || line.contains("outcome=answered")
+                        || line.contains("outcome=streamed");
+        return isOrdinary && !line.contains(DRAINING_KEY + "=");
     }
 
     long elapsedMilliseconds() {
@@ -78,6 +85,37 @@
         line(event).with(key, value).write();
     }
 
+    /** Logs that the connection of the caller closed before the request ended. */
+    void callerLeft(String reason) {
+        line("caller_left").with("reason", reason).with("after_ms", elapsedMilliseconds()).write();
+    }
+
+    /** Logs a request that was read whole and never passed on, as its connection closed first. */
+    void dropped(String reason) {
+        line("request_dropped")
+                .with("reason", reason)
+                .with("after_ms", elapsedMilliseconds())
+                .write();
+    }
+
+    /**
+     * Logs a request that is in progress as the gateway stops.
+     *
+     * @param attempt the attempt that waits for a server, if one does
+     * @param attempts how many servers the request was sent to
+     * @param isDone whether only the rest of the response is on its way to the caller
+     */
+    void inProgress(Optional<Attempt> attempt, int attempts, boolean isDone) {
+        LogLine line =
+                line("request_in_progress")
+                        .with("server", attempt.map(one -> one.server().name()).orElse(""))
+                        .with("attempts", attempts)
+                        .with("sending", isDone)
+                        .with("after_ms", elapsedMilliseconds());
+        attempt.flatMap(Attempt::connectionUse).ifPresent(use -> use.addTo(line));
+        line.write();
+    }
+
     /** Logs an event between the request and one server. */
     void serverEvent(String event, BackendServer server, String key, Object value) {
         serverLine(event, server, key, value).write();
@@ -213,7 +251,7 @@
     private LogLine line(String event) {
         LogLine line = LogLine.info(event).request(mRequest.identifier());
         return mGateway.isDraining()
-                ? line.with("draining_ms", mGateway.drainingMilliseconds())
+                ? line.with(DRAINING_KEY, mGateway.drainingMilliseconds())
                 : line;
     }
 }
