Answer requests that wait behind another while a gateway stops

Callers that had sent a request behind another one on the same connection got no answer to it when the gateway stopped: the response to the first announced the close of the connection, or the connection closed after a stream whose head had been sent before the signal, and what had been read whole behind it was dropped without a line.

The close is now announced with the response to the last request that was read. Those that wait are served if they end in time and refused unrun if not, each with a response of its own.

--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -62,7 +62,9 @@
     private long mLastActiveAt;
     private Optional<RequestForwarder> mInProgress = Optional.empty();
     private int mInProgressBytes;
-    private boolean mCloseAfterResponse;
+    private boolean mIsLastOfCaller;
+    private boolean mCloseWhenServed;
+    private boolean mCloseAnnounced;
     private String mCloseReason = CLOSED_BY_CALLER;
     private boolean mRejected;
     private boolean mUsed;
@@ -160,11 +162,12 @@
     }
 
     /**
-     * Closes the connection now if it is idle, or else after the current response. One that was
-     * just opened waits for its first request, which a close would reset on its way.
+     * Closes the connection now if it is idle, or else once the requests that were read have their
+     * responses. One that was just opened waits for its first request, which a close would reset on
+     * its way.
      */
     void closeWhenIdle() {
-        mCloseAfterResponse = true;
+        mCloseWhenServed = true;
         long untilUnused = mOpenedAt + FIRST_REQUEST_MILLISECONDS - mGateway.now();
         if (requestsInProgress() > 0 || mHead.isPresent()) {
             return;
@@ -208,7 +211,7 @@
      * refuses the one that is half read.
      */
     void gatewayStops() {
-        mCloseAfterResponse = true;
+        mCloseWhenServed = true;
         if (mInProgress.isPresent()) {
             mInProgress.get().gatewayStops();
         } else if (mHead.isPresent()) {
@@ -378,7 +381,7 @@
             return;
         }
         CallerRequest request = mPipelined.poll();
-        mCloseAfterResponse |= !keepsAlive(request) || mGateway.isDraining();
+        mIsLastOfCaller = !keepsAlive(request);
         RequestForwarder forwarder = new RequestForwarder(mGateway, request, this);
         mInProgress = Optional.of(forwarder);
         mInProgressBytes = request.body().capacity();
@@ -398,7 +401,7 @@
             close("response_not_written");
             return;
         }
-        if (mCloseAfterResponse) {
+        if (mCloseAnnounced || (mCloseWhenServed && mPipelined.isEmpty())) {
             close("response_announced_close");
             return;
         }
@@ -406,9 +409,14 @@
         serveNext();
     }
 
+    /**
+     * Announces the close of the connection with the last response. Requests that wait behind this
+     * one get responses of their own first.
+     */
     private void setConnectionHeader(HttpHeaders headers) {
-        mCloseAfterResponse |= mGateway.isDraining();
-        if (mCloseAfterResponse) {
+        mCloseWhenServed |= mGateway.isDraining();
+        mCloseAnnounced = mIsLastOfCaller || (mCloseWhenServed && mPipelined.isEmpty());
+        if (mCloseAnnounced) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
     }
@@ -422,7 +430,7 @@
         mHead = Optional.empty();
         dropBody();
         if (mInProgress.isPresent()) {
-            mCloseAfterResponse = true;
+            mCloseWhenServed = true;
             return;
         }
         DefaultFullHttpResponse response =
