Log a task of control that fails and go on with repeated ones

The storage thread caught only its own exception, so any other one while a refused write was repeated left the member waiting for a repetition that never came; the ticks of the log and of the status ended the same way.

The control thread and the storage thread are a LoggingScheduler now. The storage thread schedules the repetition after any failure, and before it calls back.

No run of real processes showed such an exception.

--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -81,8 +80,7 @@
                         settings,
                         MonotonicClock.start(),
                         new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory()),
-                        Executors.newSingleThreadScheduledExecutor(
-                                task -> new Thread(task, "control")));
+                        new LoggingScheduler("control", LogLine::write));
         try {
             daemon.openMember(opener);
         } catch (IbisstandException e) {
--- a/control/src/main/java/org/ibisstand/control/StorageThread.java
+++ b/control/src/main/java/org/ibisstand/control/StorageThread.java
@@ -1,8 +1,8 @@
 package org.ibisstand.control;
 
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -33,7 +33,7 @@
     private final Consumer<IbisstandException> mOnRefusal;
     private final Queue<Output.Persist> mPendingWrites = new ConcurrentLinkedQueue<>();
     private final ScheduledExecutorService mThread =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control-storage"));
+            new LoggingScheduler("control-storage", LogLine::write);
     private boolean mHasUnsyncedRecords;
     private long mWrittenSequence;
     private long mPersistedSequence;
@@ -89,32 +89,42 @@
     }
 
     private void writeAll() {
-        try {
-            for (int remaining = mPendingWrites.size(); remaining > 0; remaining--) {
-                Output.Persist next = mPendingWrites.element();
-                next.writeTo(mStore);
-                mHasUnsyncedRecords |= !next.records().isEmpty();
-                mWrittenSequence = next.sequence();
-                mPendingWrites.remove();
-            }
-            if (mHasUnsyncedRecords) {
-                mStore.sync();
-                mHasUnsyncedRecords = false;
-            }
-            if (mWrittenSequence > mPersistedSequence) {
-                mPersistedSequence = mWrittenSequence;
-                mOnPersisted.accept(mPersistedSequence);
-            }
+        CompletableFuture<Void> attempt =
+                CompletableFuture.runAsync(this::writeAndSync, Runnable::run);
+        if (!attempt.isCompletedExceptionally()) {
             accepted();
-        } catch (IbisstandException e) {
-            if (e.code() == ErrorCode.STORAGE_REFUSED) {
-                refused(e);
-            } else {
-                mOnFailure.accept(e);
+            return;
+        }
+        switch (attempt.exceptionNow()) {
+            case IbisstandException e when e.code() == ErrorCode.STORAGE_REFUSED -> refused(e);
+            case IbisstandException e -> mOnFailure.accept(e);
+            case Throwable unexpected -> {
+                LogLine.error("storage_task_failed").cause(unexpected).write();
+                refused(
+                        new IbisstandException(
+                                ErrorCode.INTERNAL, String.valueOf(unexpected), unexpected));
             }
         }
     }
 
+    private void writeAndSync() {
+        for (int remaining = mPendingWrites.size(); remaining > 0; remaining--) {
+            Output.Persist next = mPendingWrites.element();
+            next.writeTo(mStore);
+            mHasUnsyncedRecords |= !next.records().isEmpty();
+            mWrittenSequence = next.sequence();
+            mPendingWrites.remove();
+        }
+        if (mHasUnsyncedRecords) {
+            mStore.sync();
+            mHasUnsyncedRecords = false;
+        }
+        if (mWrittenSequence > mPersistedSequence) {
+            mPersistedSequence = mWrittenSequence;
+            mOnPersisted.accept(mPersistedSequence);
+        }
+    }
+
     private void accepted() {
         if (mRefusals > 0) {
             LogLine.info("storage_accepted").with("refusals", mRefusals).write();
@@ -133,9 +143,9 @@
                     .with("pending_writes", mPendingWrites.size())
                     .write();
         }
-        mOnRefusal.accept(refusal);
         if (!mThread.isShutdown()) {
             mThread.schedule(this::writeAll, REPEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
         }
+        mOnRefusal.accept(refusal);
     }
 }
--- a/control/src/test/java/org/ibisstand/control/LogGroup.java
+++ b/control/src/test/java/org/ibisstand/control/LogGroup.java
@@ -27,6 +27,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.base.LogLine;
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.settings.ControlSettings;
 import org.ibisstand.settings.SettingsReader;
@@ -258,7 +259,7 @@
         private final EventLoopGroup mEventLoopGroup =
                 new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         private final ScheduledExecutorService mControlThread =
-                Executors.newSingleThreadScheduledExecutor();
+                new LoggingScheduler("control", LogLine::write);
         private final ReplicatedLogTest.CommandList mStateMachine =
                 new ReplicatedLogTest.CommandList();
         private final WireServer mServer;
--- a/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
+++ b/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
@@ -16,8 +16,9 @@
 public final class MemoryDisk implements Disk {
     private final Map<String, FileContent> mFiles = new TreeMap<>();
     private final Map<String, FileContent> mDurableFiles = new TreeMap<>();
-    private long mCapacityBytes = Long.MAX_VALUE;
-    private boolean mSyncFails;
+    private volatile long mCapacityBytes = Long.MAX_VALUE;
+    private volatile boolean mSyncFails;
+    private volatile FaultHook mFaultHook = operation -> {};
     private int mSyncCount;
 
     /** Creates an empty disk with unlimited capacity. */
@@ -42,6 +43,15 @@
         mSyncFails = fails;
     }
 
+    /**
+     * Sets what is called before each operation that changes the disk.
+     *
+     * @param hook throws what the operation is to throw
+     */
+    public void setFaultHook(FaultHook hook) {
+        mFaultHook = hook;
+    }
+
     /** Returns the number of successful file and folder syncs. */
     public int syncCount() {
         return mSyncCount;
@@ -91,12 +101,16 @@
     }
 
     @Override
-    public StorageFile open(String name) {
+    public StorageFile open(String name) throws IOException {
+        if (!mFiles.containsKey(name)) {
+            mFaultHook.before(Operation.CREATE);
+        }
         return new MemoryFile(mFiles.computeIfAbsent(name, unused -> new FileContent()));
     }
 
     @Override
     public void rename(String from, String to) throws IOException {
+        mFaultHook.before(Operation.RENAME);
         FileContent content = mFiles.remove(from);
         if (content == null) {
             throw new IOException("cannot rename missing file " + from);
@@ -105,13 +119,14 @@
     }
 
     @Override
-    public void delete(String name) {
+    public void delete(String name) throws IOException {
+        mFaultHook.before(Operation.DELETE);
         mFiles.remove(name);
     }
 
     @Override
     public void syncFolder() throws SyncFailedException {
-        performSync();
+        performSync(Operation.SYNC_FOLDER);
         mDurableFiles.clear();
         mDurableFiles.putAll(mFiles);
     }
@@ -119,10 +134,15 @@
     @Override
     public void close() {}
 
-    private void performSync() throws SyncFailedException {
+    private void performSync(Operation operation) throws SyncFailedException {
         if (mSyncFails) {
             throw new SyncFailedException("simulated sync failure");
         }
+        try {
+            mFaultHook.before(operation);
+        } catch (IOException e) {
+            throw new SyncFailedException(e.getMessage());
+        }
         mSyncCount++;
     }
 
@@ -131,6 +151,35 @@
         return Math.max(0, mCapacityBytes - used);
     }
 
+    /** An operation that changes the disk. */
+    public enum Operation {
+        /** Create a file. */
+        CREATE,
+        /** Write to a file. */
+        WRITE,
+        /** Truncate a file. */
+        TRUNCATE,
+        /** Sync a file. */
+        SYNC,
+        /** Rename a file. */
+        RENAME,
+        /** Delete a file. */
+        DELETE,
+        /** Sync the folder. */
+        SYNC_FOLDER
+    }
+
+    /** Decides which operations fail. */
+    public interface FaultHook {
+        /**
+         * Returns if the operation goes on.
+         *
+         * @param operation what the disk is about to do
+         * @throws IOException what the operation is to throw
+         */
+        void before(Operation operation) throws IOException;
+    }
+
     /** A write that has not been synced. */
     private record UnsyncedWrite(int position, byte[] bytes) {}
 
@@ -188,6 +237,7 @@
 
         @Override
         public void write(long position, byte[] bytes) throws IOException {
+            mFaultHook.before(Operation.WRITE);
             long end = Math.min(position + bytes.length, mContent.mBytes.length + freeBytes());
             int length = Math.toIntExact(Math.max(0, end - position));
             if (length > 0) {
@@ -200,13 +250,14 @@
         }
 
         @Override
-        public void truncate(long size) {
+        public void truncate(long size) throws IOException {
+            mFaultHook.before(Operation.TRUNCATE);
             mContent.mBytes = Arrays.copyOf(mContent.mBytes, Math.toIntExact(size));
         }
 
         @Override
         public void sync() throws SyncFailedException {
-            performSync();
+            performSync(Operation.SYNC);
             mContent.mDurableBytes = mContent.mBytes.clone();
             mContent.mUnsyncedWrites.clear();
         }
--- a/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
+++ b/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
@@ -135,7 +135,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"metadata", "log-00000000000000000006"})
-    void rejectsMissingMetadataOrSegment(String name) {
+    void rejectsMissingMetadataOrSegment(String name) throws Exception {
         LogStore store = open(mDisk).store();
         store.append(records(1, 14, 1));
         store.sync();
