Report a failed log though the tick of the daemon fails

A member whose log had stopped could run on without a word to its operator: the tick looked at the failure of the log only after all its other parts, and an exception in one of them, at each tick, hid it. The process then didn't end and wasn't started again, while it answered no change.

The tick looks at the failure first.

No run of real processes showed it.

--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -226,6 +226,7 @@
     }
 
     private void tick() {
+        mComponents.log().failure().ifPresent(mFailed::complete);
         try {
             mComponents.quorum().tick();
             mComponents
@@ -235,7 +236,6 @@
             mComponents.watchers().setConfirmed(mComponents.quorum().isConfirmed());
             mComponents.watchers().flush();
             mComponents.fleet().tick();
-            mComponents.log().failure().ifPresent(mFailed::complete);
             tickRollout();
         } catch (RuntimeException e) {
             LogLine.error("tick_failed").with("member", mSettings.member()).cause(e).write();
--- a/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
@@ -69,11 +69,90 @@
         mEventLoopGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    /** An exception in an earlier part of the tick hid the failure, and the process ran on. */
+    @Test
+    void aFailedLogIsReportedThoughEachTickFails() {
+        BrokenLog log = new BrokenLog(true);
+        try (ControlDaemon daemon = ControlDaemon.start(settings(), log)) {
+            log.breakNow();
+
+            IbisstandException failure =
+                    daemon.failed().orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join();
+            assertThat(failure.code()).isEqualTo(ErrorCode.STORAGE_DAMAGED);
+        }
+    }
+
     private static Log openLog(StateMachine stateMachine, LogContext context) {
         return SingleMemberLog.create(
                 stateMachine, new LogMember("control-1", context.address(), true));
     }
 
+    /** A log that can be broken so that its status and its proposals throw. */
+    private static final class BrokenLog implements Log, LogOpener {
+        private final boolean mFails;
+        private volatile boolean mIsBroken;
+        private Log mLog;
+
+        BrokenLog(boolean fails) {
+            mFails = fails;
+        }
+
+        void breakNow() {
+            mIsBroken = true;
+        }
+
+        @Override
+        public Log open(StateMachine stateMachine, LogContext context) {
+            mLog = openLog(stateMachine, context);
+            return this;
+        }
+
+        @Override
+        public CompletableFuture<byte[]> propose(byte[] command) {
+            throwIfBroken();
+            return mLog.propose(command);
+        }
+
+        @Override
+        public CompletableFuture<Void> confirmRead() {
+            return mLog.confirmRead();
+        }
+
+        @Override
+        public LogStatus status() {
+            throwIfBroken();
+            return mLog.status();
+        }
+
+        @Override
+        public CompletableFuture<Void> addMember(LogMember member) {
+            return mLog.addMember(member);
+        }
+
+        @Override
+        public CompletableFuture<Void> removeMember(String name) {
+            return mLog.removeMember(name);
+        }
+
+        @Override
+        public Optional<IbisstandException> failure() {
+            return mIsBroken && mFails
+                    ? Optional.of(new IbisstandException(ErrorCode.STORAGE_DAMAGED, "broken"))
+                    : Optional.empty();
+        }
+
+        @Override
+        public void close() {
+            mLog.close();
+        }
+
+        private void throwIfBroken() {
+            if (mIsBroken) {
+                throw new IllegalStateException("the log is broken");
+            }
+        }
+    }
+
     private static ControlSettings settings() {
         String json =
                 "{'member':'control-1','zone':'a','wire':{'host':'127.0.0.1','port':0},"
