Answer changes whose proposal fails at once or unexpectedly

An operator's change could stay unanswered for ever, and with it all later ones, while the process ran:

- An exception in the task of a change left its future open.
- A proposal that threw stayed counted in the bytes under way, so the queue of changes had no room again.
- Each waiting change that is refused at once (a full disk refuses so) called the queue again from within itself.
With thousands of them the stack of 512 KiB overflowed, and the same bytes stayed counted.

A change's future now ends with its task, a proposal that throws counts as failed, and the queue goes on in its loop instead of recursively.

The overflow takes thousands of waiting changes; nothing shows that the reported groups had so many.

--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.consensus.VoterPolicy;
@@ -343,19 +344,7 @@
     }
 
     private <T> CompletableFuture<T> callOnControlThread(Supplier<CompletableFuture<T>> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        mControlThread.execute(
-                () ->
-                        task.get()
-                                .whenComplete(
-                                        (value, failure) -> {
-                                            if (failure == null) {
-                                                result.complete(value);
-                                            } else {
-                                                result.completeExceptionally(failure);
-                                            }
-                                        }));
-        return result;
+        return CompletableFuture.supplyAsync(task, mControlThread).thenCompose(Function.identity());
     }
 
     /**
--- a/control/src/main/java/org/ibisstand/control/RoutingChanges.java
+++ b/control/src/main/java/org/ibisstand/control/RoutingChanges.java
@@ -27,6 +27,7 @@
     private final Deque<WaitingChange> mWaiting = new ArrayDeque<>();
     private long mProposedBytes;
     private long mWaitingBytes;
+    private boolean mIsProposing;
 
     /** Creates an empty queue that hands the changes to the given proposer. */
     RoutingChanges(Function<PutRouting, CompletableFuture<CommandResult>> proposer) {
@@ -51,15 +52,30 @@
         return change.result();
     }
 
+    /**
+     * Proposes what has room; a change that fails at once calls this again from within the loop.
+     */
     private void proposeWaiting() {
+        if (mIsProposing) {
+            return;
+        }
+        mIsProposing = true;
         while (!mWaiting.isEmpty() && hasRoom(mWaiting.getFirst())) {
             WaitingChange change = mWaiting.removeFirst();
             mWaitingBytes -= change.bytes();
             mProposedBytes += change.bytes();
-            mProposer
-                    .apply(change.routing())
+            propose(change.routing())
                     .whenComplete((result, failure) -> finish(change, result, failure));
         }
+        mIsProposing = false;
+    }
+
+    private CompletableFuture<CommandResult> propose(PutRouting routing) {
+        try {
+            return mProposer.apply(routing);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
     }
 
     private boolean hasRoom(WaitingChange change) {
--- a/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ibisstand/control/ControlDaemonTest.java
@@ -82,6 +82,22 @@
         }
     }
 
+    /** The caller waited without end. */
+    @Test
+    void aChangeThatFailsUnexpectedlyIsAnswered() {
+        BrokenLog log = new BrokenLog(false);
+        try (ControlDaemon daemon = ControlDaemon.start(settings(), log)) {
+            log.breakNow();
+
+            CompletableFuture<Long> change =
+                    daemon.fleet()
+                            .nameWeights("model", 2)
+                            .orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+            CompletionException thrown = assertThrows(CompletionException.class, change::join);
+            assertThat(thrown).hasCauseThat().isInstanceOf(IllegalStateException.class);
+        }
+    }
+
     private static Log openLog(StateMachine stateMachine, LogContext context) {
         return SingleMemberLog.create(
                 stateMachine, new LogMember("control-1", context.address(), true));
--- a/control/src/test/java/org/ibisstand/control/RoutingChangesTest.java
+++ b/control/src/test/java/org/ibisstand/control/RoutingChangesTest.java
@@ -22,6 +22,9 @@
     private final List<CompletableFuture<CommandResult>> mProposals = new ArrayList<>();
     private final RoutingChanges mChanges = new RoutingChanges(this::propose);
 
+    private boolean mIsRefusing;
+    private boolean mIsThrowing;
+
     @Test
     void smallChangesAreProposedAtOnce() {
         for (int version = 1; version <= 100; version++) {
@@ -69,6 +72,38 @@
         assertThat(mProposedVersions).doesNotContain(5L);
     }
 
+    /** The process runs its threads with stacks of this size. */
+    @Test
+    void thousandsOfWaitingChangesThatAreRefusedAtOnceLetTheNextOneFollow() throws Exception {
+        Thread thread =
+                new Thread(null, this::refuseThousandsOfWaitingChanges, "control", 512 << 10);
+        thread.start();
+        thread.join();
+
+        add(20_000, 3 * MEGABYTE);
+        assertThat(mProposedVersions.getLast()).isEqualTo(20_000);
+    }
+
+    private void refuseThousandsOfWaitingChanges() {
+        add(1, 3 * MEGABYTE);
+        for (int version = 2; version <= 10_000; version++) {
+            add(version, 1_000);
+        }
+        mIsRefusing = true;
+        mProposals.getFirst().completeExceptionally(new IllegalStateException("refused"));
+    }
+
+    @Test
+    void aChangeWhoseProposalThrowsFailsAndLetsTheNextOneFollow() {
+        mIsThrowing = true;
+        CompletableFuture<CommandResult> first = add(1, 3 * MEGABYTE);
+        mIsThrowing = false;
+        add(2, 3 * MEGABYTE);
+
+        assertThat(first.isCompletedExceptionally()).isTrue();
+        assertThat(mProposedVersions).containsExactly(2L);
+    }
+
     private CompletableFuture<CommandResult> add(long version, int bytes) {
         return mChanges.add(
                 PutRouting.newBuilder()
@@ -78,7 +113,13 @@
     }
 
     private CompletableFuture<CommandResult> propose(PutRouting routing) {
+        if (mIsThrowing) {
+            throw new IllegalStateException("the proposer is broken");
+        }
         mProposedVersions.add(routing.getVersion());
+        if (mIsRefusing) {
+            return CompletableFuture.failedFuture(new IllegalStateException("refused"));
+        }
         mProposals.add(new CompletableFuture<>());
         return mProposals.getLast();
     }
