Log failed tasks of agents, connections and settings, and go on

A periodic task that throws is run never again, and the executors keep its exception in a future that nobody reads: an agent would have stopped to announce its server or to load weights, a connection to look for silence, a process to read its settings, without a line.

LoggedTask in base is the one home of this; the scheduler of control uses it in place of its own copy.

--- a/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/AgentDaemon.java
@@ -10,6 +10,7 @@
 import org.ibisstand.administration.AdministrationServer;
 import org.ibisstand.base.Daemon;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.settings.Address;
 import org.ibisstand.settings.AgentSettings;
 import org.ibisstand.settings.BackendServer;
@@ -125,7 +126,7 @@
         mAnnouncer.start();
         mRuntime.controlThread()
                 .scheduleAtFixedRate(
-                        this::removeExpired,
+                        LoggedTask.of("remove_expired", this::removeExpired),
                         EXPIRY_MILLISECONDS,
                         EXPIRY_MILLISECONDS,
                         TimeUnit.MILLISECONDS);
--- a/agent/src/main/java/org/ibisstand/agent/Announcer.java
+++ b/agent/src/main/java/org/ibisstand/agent/Announcer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.settings.AgentSettings;
 import org.ibisstand.settings.BackendServer;
 import org.ibisstand.wire.ControlClient;
@@ -53,7 +54,10 @@
         mHealth.setChangeListener(this::announce);
         long lease = mSettings.timing().leaseMilliseconds();
         mControlThread.scheduleAtFixedRate(
-                this::announce, 0, lease / ANNOUNCEMENTS_PER_LEASE, TimeUnit.MILLISECONDS);
+                LoggedTask.of("announce", this::announce),
+                0,
+                lease / ANNOUNCEMENTS_PER_LEASE,
+                TimeUnit.MILLISECONDS);
     }
 
     void onModelLoaded(String model, String weightsVersion) {
--- a/agent/src/main/java/org/ibisstand/agent/BackendHealth.java
+++ b/agent/src/main/java/org/ibisstand/agent/BackendHealth.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 
 /**
  * Tracks whether the backend server accepts connections.
@@ -75,7 +76,10 @@
     }
 
     private void scheduleProbe() {
-        mControlThread.schedule(this::probe, PROBE_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mControlThread.schedule(
+                LoggedTask.of("probe", this::probe),
+                PROBE_INTERVAL_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void probe() {
--- a/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsDaemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.BootIdentifier;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.fleet.FleetFollower;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.WireContext;
@@ -74,7 +75,7 @@
                         weightsUpdater::updateNotices);
         mTicks =
                 controlThread.scheduleWithFixedDelay(
-                        () -> tick(weightsUpdater, partUpdater),
+                        LoggedTask.of("update_weights", () -> tick(weightsUpdater, partUpdater)),
                         TICK_MILLISECONDS,
                         TICK_MILLISECONDS,
                         TimeUnit.MILLISECONDS);
--- a/control/src/main/java/org/ibisstand/control/LoggingScheduler.java
+++ b/control/src/main/java/org/ibisstand/control/LoggingScheduler.java
@@ -1,11 +1,11 @@
 package org.ibisstand.control;
 
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 
 /**
  * Runs tasks on one thread. Logs an exception that escapes a task; a repeated task goes on with its
@@ -23,55 +23,27 @@
 
     @Override
     public void execute(Runnable task) {
-        super.execute(new LoggedTask(task));
+        super.execute(logged(task));
     }
 
     @Override
     public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-        Runnable logged = task instanceof LoggedTask ? task : new LoggedTask(task);
-        return super.schedule(logged, delay, unit);
+        return super.schedule(logged(task), delay, unit);
     }
 
     @Override
     public ScheduledFuture<?> scheduleWithFixedDelay(
             Runnable task, long initialDelay, long delay, TimeUnit unit) {
-        return super.scheduleWithFixedDelay(new LoggedTask(task), initialDelay, delay, unit);
+        return super.scheduleWithFixedDelay(logged(task), initialDelay, delay, unit);
     }
 
     @Override
     public ScheduledFuture<?> scheduleAtFixedRate(
             Runnable task, long initialDelay, long period, TimeUnit unit) {
-        return super.scheduleAtFixedRate(new LoggedTask(task), initialDelay, period, unit);
+        return super.scheduleAtFixedRate(logged(task), initialDelay, period, unit);
     }
 
-    /** A task whose failures are logged; of runs that fail in a row, fewer and fewer are. */
-    private final class LoggedTask implements Runnable {
-        private final Runnable mTask;
-        private long mFailures;
-
-        LoggedTask(Runnable task) {
-            mTask = task;
-        }
-
-        @Override
-        public void run() {
-            CompletableFuture<Void> run = CompletableFuture.runAsync(mTask, Runnable::run);
-            if (run.isCompletedExceptionally()) {
-                failed(run.exceptionNow());
-            } else {
-                mFailures = 0;
-            }
-        }
-
-        private void failed(Throwable failure) {
-            mFailures++;
-            if (Long.bitCount(mFailures) == 1) {
-                mLog.accept(
-                        LogLine.error("task_failed")
-                                .with("thread", mName)
-                                .with("failures", mFailures)
-                                .cause(failure));
-            }
-        }
+    private Runnable logged(Runnable task) {
+        return LoggedTask.of(mName, task, mLog);
     }
 }
--- a/control/src/test/java/org/ibisstand/control/LoggingSchedulerTest.java
+++ b/control/src/test/java/org/ibisstand/control/LoggingSchedulerTest.java
@@ -39,7 +39,7 @@
 
         assertThat(twelveRuns.await(20, TimeUnit.SECONDS)).isTrue();
         assertThat(mLines).hasSize(4);
-        assertThat(mLines.getFirst()).contains("event=task_failed thread=control failures=1");
+        assertThat(mLines.getFirst()).contains("event=task_failed task=control failures=1");
         assertThat(mLines.getLast()).contains("failures=8");
     }
 
--- a/settings/src/main/java/org/ibisstand/settings/SettingsWatch.java
+++ b/settings/src/main/java/org/ibisstand/settings/SettingsWatch.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 
 /** Watches a settings file, which may change with a signal or without a word. */
 public final class SettingsWatch implements AutoCloseable {
@@ -37,7 +38,10 @@
     public static SettingsWatch start(Path file, byte[] content, Consumer<byte[]> listener) {
         SettingsWatch watch = create(file, content, listener);
         watch.mTimer.scheduleWithFixedDelay(
-                watch::look, INTERVAL_SECONDS, INTERVAL_SECONDS, TimeUnit.SECONDS);
+                LoggedTask.of("check_settings", watch::look),
+                INTERVAL_SECONDS,
+                INTERVAL_SECONDS,
+                TimeUnit.SECONDS);
         return watch;
     }
 
@@ -48,7 +52,7 @@
 
     /** Looks at the file now, on the watch's own thread. */
     public void check() {
-        mTimer.execute(this::look);
+        mTimer.execute(LoggedTask.of("check_settings", this::look));
     }
 
     @Override
--- a/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
+++ b/wire/src/main/java/org/ibisstand/wire/ConnectionHandler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.Heartbeat;
 import org.tinylog.Logger;
@@ -111,7 +112,7 @@
                     Optional.of(
                             channel.executor()
                                     .scheduleAtFixedRate(
-                                            () -> tick(channel),
+                                            LoggedTask.of("check_connection", () -> tick(channel)),
                                             interval,
                                             interval,
                                             TimeUnit.MILLISECONDS));
--- a/wire/src/main/java/org/ibisstand/wire/WireClient.java
+++ b/wire/src/main/java/org/ibisstand/wire/WireClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.wire.message.Frame;
 import org.tinylog.Logger;
 
@@ -122,7 +123,8 @@
         long pause = nextPauseMilliseconds();
         mFailures++;
         Logger.debug("event=reconnect peer={} in_ms={}", mAddress, pause);
-        mContext.group().schedule(this::connectNow, pause, TimeUnit.MILLISECONDS);
+        mContext.group()
+                .schedule(LoggedTask.of("connect", this::connectNow), pause, TimeUnit.MILLISECONDS);
     }
 
     private long nextPauseMilliseconds() {
