Ask for the stream of a test's socket once

The test of late bytes failed once on a busy machine with "Socket is closed". Its engine asked the socket for its output stream twice, to write and to flush. The client closes the connection as soon as it has read the bytes, the engine's reader then closes the socket, and the second question throws. The product did what the test asks for.

The checks of the test are as before.

--- a/agent/src/test/java/org/ibisstand/agent/ScriptedEngine.java
+++ b/agent/src/test/java/org/ibisstand/agent/ScriptedEngine.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -69,9 +70,11 @@
                 + body;
     }
 
+    /** Writes at once; the connection may be closed as soon as the client has the bytes. */
     static void write(Socket connection, String text) throws IOException {
-        connection.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        connection.getOutputStream().flush();
+        OutputStream output = connection.getOutputStream();
+        output.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        output.flush();
     }
 
     /** Closes the connection with a reset. */
