Wait for runs that cannot be moved before a load resets them

Callers lost streams of routes that may run once whenever new weights were named: 0.7 s after the drain of an engine began, the agent's order reset the runs that no other engine could take, at all gateways at once. Streams take a few seconds under load, so most would have ended by themselves.

An engine now waits up to 5 s for such runs, and at most until its weights have been outdated for 8 s, which leaves the time of a load below the bounds of the platforms. It takes no new requests meanwhile, as before.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -36,18 +36,20 @@
     /** Time that a notice needs to reach all entries through a member of control. */
     private static final Duration NOTICE_PROPAGATION_TIME = Duration.ofMillis(60);
 
+    /** Runs have this long to be moved or to end before any is reset. */
+    private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(700);
+
     /**
      * The maximum wait for runs that cannot be moved; then they are reset. An engine that waited
      * for its longest runs would serve no new requests for many seconds under load.
      */
-    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(700);
+    private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(5_000);
 
     /**
-     * How long the last engine with outdated weights may have them, while the others have spare
-     * capacity. Below the platforms' limits of 11 s and up for a load at all engines, by the time
-     * of a load.
+     * How long an engine may have outdated weights because of runs that cannot be moved. Below the
+     * platforms' limits of 11 s and up for a load at all engines, by the time of a load.
      */
-    private static final Duration LAST_ENGINE_MAXIMUM_OUTDATED_TIME = Duration.ofMillis(8_000);
+    private static final Duration MAXIMUM_OUTDATED_TIME = Duration.ofMillis(8_000);
 
     /** The longest status interval in a large fleet for an engine that has no weights to load. */
     private static final Duration MAXIMUM_STATUS_INTERVAL = Duration.ofMillis(250);
@@ -223,13 +225,17 @@
         if (status.waiting() == 0 && status.running() == 0) {
             return Optional.of(RunHandling.FINISH_FIRST);
         }
-        boolean isWaitOver =
+        if (drainTime.compareTo(MINIMUM_DRAIN_TIME) < 0) {
+            return Optional.empty();
+        }
+        boolean isOutdatedTooLong =
+                outdatedTime(model, status).compareTo(MAXIMUM_OUTDATED_TIME) >= 0;
+        boolean isDrainedTooLong =
                 drainTime.compareTo(MAXIMUM_DRAIN_TIME) >= 0
-                        && (!isLastEngineOfVersion(model, status)
-                                || outdatedTime(model, status)
-                                                .compareTo(LAST_ENGINE_MAXIMUM_OUTDATED_TIME)
-                                        >= 0);
-        return isWaitOver ? Optional.of(RunHandling.RESET) : Optional.empty();
+                        && !isLastEngineOfVersion(model, status);
+        return isOutdatedTooLong || isDrainedTooLong
+                ? Optional.of(RunHandling.RESET)
+                : Optional.empty();
     }
 
     /**
