Send no request to a server whose response says that it leaves

A server that will stop soon says so in all its responses.

Each response head that belongs to the server is read for it, in one place for requests and moves of runs. From then on the incarnation gets no request and keeps no idle connection; requests in progress go on, and runs move as from a server whose record says that it leaves. What an incarnation said is kept apart from its record, by name, address and time of start, so neither late news that it is ready nor a new listing brings it back, and a new incarnation starts afresh. Requests are refused unrun while all servers of their service leave.

--- a/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
+++ b/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
@@ -44,6 +44,7 @@
                     NOT_RUN,
                     "x-signature",
                     "x-load",
+                    "x-leaving",
                     "x-weights",
                     "last-event-id",
                     "x-run-source",
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -28,6 +28,9 @@
     /** The identifier of the gateway's own calls, whose responses need not repeat one. */
     static final String NO_REQUEST_IDENTIFIER = "";
 
+    /** The value of the header of a server that leaves. */
+    private static final String IS_LEAVING = "1";
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
     private static final long MILLISECONDS_PER_SECOND = 1_000;
 
@@ -228,17 +231,28 @@
     private void readHead(HttpResponse head) {
         switch (ResponseOwner.decide(head, mExchange, mHeaderNames)) {
             case ResponseOwner.Interim interim -> mSkippingResponse = true;
-            case ResponseOwner.OtherRequest other -> skip(other, head);
+            case ResponseOwner.OtherRequest other -> {
+                readAvailability(head);
+                skip(other, head);
+            }
             case ResponseOwner.Unknown unknown -> fail(unknown.reason());
             case ResponseOwner.ThisRequest owned -> {
                 mDelimited = ResponseOwner.isDelimited(head);
                 readKeepAlive(head);
+                readAvailability(head);
                 mOverheadBytes = 0;
                 mListener.get().onHead(head);
             }
         }
     }
 
+    /** Reads what the server says of itself; it is as true in a response to another request. */
+    private void readAvailability(HttpResponse head) {
+        if (head.headers().contains(mHeaderNames.leaving(), IS_LEAVING, false)) {
+            mServer.recordLeaving(mClock.millis());
+        }
+    }
+
     private void skip(ResponseOwner.OtherRequest other, HttpResponse head) {
         logSkipped(other.identifier(), head.status().code());
         mSkippingResponse = true;
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,10 +23,32 @@
     /** Each gateway may open this many to a server, even if its share of the limit is less. */
     private static final int MINIMUM_CONNECTIONS = 4;
 
+    /** More than there are servers, and those delisted while late records may still arrive. */
+    private static final int MAXIMUM_INCARNATIONS = 4_096;
+
     private final Map<String, BackendServer> mServersByName = new HashMap<>();
+
+    /** Kept after a server is delisted, as a late record may list the same incarnation again. */
+    private final Map<Incarnation, StatedAvailability> mAvailability =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(
+                        Map.Entry<Incarnation, StatedAvailability> eldest) {
+                    return size() > MAXIMUM_INCARNATIONS;
+                }
+            };
+
     private int mGatewayCount = 1;
     private final Map<String, List<BackendServer>> mServersByService = new HashMap<>();
 
+    /** One start of a server. */
+    private record Incarnation(String server, String address, long bornMilliseconds) {
+        static Incarnation of(ServerRecord record) {
+            return new Incarnation(
+                    record.getServer(), record.getAddress(), record.getBornMilliseconds());
+        }
+    }
+
     /**
      * Adds or updates the servers that the control plane lists, and removes all others. A record
      * that cannot be used is skipped, so that the others are still followed.
@@ -128,7 +151,10 @@
             logChanged("server_replaced", existing);
             existing.markRemoved(now);
         }
-        BackendServer server = new BackendServer(record);
+        StatedAvailability availability =
+                mAvailability.computeIfAbsent(
+                        Incarnation.of(record), incarnation -> new StatedAvailability());
+        BackendServer server = new BackendServer(record, availability);
         mServersByName.put(record.getServer(), server);
         logChanged("server_listed", server);
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -45,6 +45,7 @@
     private static final long LEAVING_GRACE_MILLISECONDS = 800;
 
     private final Address mAddress;
+    private final StatedAvailability mAvailability;
     private final Deque<BackendConnection> mIdleConnections = new ArrayDeque<>();
     private ServerRecord mRecord;
     private long mPendingTokens;
@@ -63,7 +64,13 @@
     private boolean mRemoved;
 
     BackendServer(ServerRecord record) {
+        this(record, new StatedAvailability());
+    }
+
+    /** Creates a server whose incarnation may have been listed before. */
+    BackendServer(ServerRecord record, StatedAvailability availability) {
         mRecord = record;
+        mAvailability = availability;
         mAddress = Address.parse(record.getAddress());
         recordWeights(record.getWeightsMap(), "record");
     }
@@ -100,7 +107,20 @@
     }
 
     boolean acceptsRequests() {
-        return !mRemoved && mRecord.getState() == ServerRecord.State.READY;
+        return !mRemoved
+                && !mAvailability.isLeaving()
+                && mRecord.getState() == ServerRecord.State.READY;
+    }
+
+    /** Stops sending requests here for good, as a response said that the server will stop soon. */
+    void recordLeaving(long now) {
+        if (mAvailability.recordLeaving(now)) {
+            closeIdleConnections();
+            LogLine.info("server_leaves")
+                    .with("server", name())
+                    .with("in_flight", inFlight())
+                    .write();
+        }
     }
 
     /** Stops sending requests here and closes idle connections; requests in progress continue. */
@@ -174,9 +194,10 @@
 
     /** Returns whether to move runs elsewhere: the engine is loading weights or will soon stop. */
     boolean shouldMoveRuns(long now) {
+        long leavingSince = Math.min(mLeavingSince, mAvailability.leavingSince());
         return isLoading(now)
-                || (mLeavingSince != Long.MAX_VALUE
-                        && now - mLeavingSince > LEAVING_GRACE_MILLISECONDS);
+                || (leavingSince != Long.MAX_VALUE
+                        && now - leavingSince > LEAVING_GRACE_MILLISECONDS);
     }
 
     /** Returns whether the engine does not answer its own agent. */
--- a/gateway/src/main/java/org/ibisstand/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/HeaderNames.java
@@ -19,6 +19,7 @@
  * @param notExecuted any value; present in responses to requests that were not executed
  * @param signature a backend server's proof that a response is its own
  * @param serverLoad the running and waiting requests, slots and slowdown of a backend server
+ * @param leaving 1 in the responses of a backend server that will stop soon
  * @param weights the version of the weights that a response was made with
  * @param lastEvent the identifier of the last event of a stream that the caller has
  * @param runSource in a request that resumes a run, the address of the engine that stopped the run
@@ -38,6 +39,7 @@
         String notExecuted,
         String signature,
         String serverLoad,
+        String leaving,
         String weights,
         String lastEvent,
         String runSource,
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -66,6 +66,43 @@
         assertThat(previous.acceptsRequests()).isFalse();
     }
 
+    @Test
+    void aServerThatSaidItLeavesStaysOutAfterItWasDelisted() {
+        mDirectory.update(List.of(record("a", 1, State.READY), record("b", 1, State.READY)), 0);
+        mDirectory.servers().stream()
+                .filter(server -> server.name().equals("a"))
+                .forEach(server -> server.recordLeaving(0));
+        assertThat(readyServerNames()).containsExactly("b");
+
+        mDirectory.update(List.of(record("b", 1, State.READY)), 1);
+        mDirectory.update(List.of(record("a", 1, State.READY), record("b", 1, State.READY)), 2);
+
+        assertThat(readyServerNames()).containsExactly("b");
+    }
+
+    /** Its response arrives after the control plane delisted the server and listed it again. */
+    @Test
+    void aServerThatSaysItLeavesInALateResponseStaysOut() {
+        mDirectory.update(List.of(record("a", 1, State.READY)), 0);
+        BackendServer delisted = mDirectory.servers().iterator().next();
+        mDirectory.update(List.of(), 1);
+        mDirectory.update(List.of(record("a", 1, State.READY)), 2);
+
+        delisted.recordLeaving(3);
+
+        assertThat(readyServerNames()).isEmpty();
+    }
+
+    @Test
+    void aNewIncarnationOfAServerThatSaidItLeavesReceivesRequests() {
+        mDirectory.update(List.of(record("a", 1, State.READY)), 0);
+        mDirectory.servers().forEach(server -> server.recordLeaving(0));
+
+        mDirectory.update(List.of(record("a", 2, State.READY)), 1);
+
+        assertThat(readyServerNames()).containsExactly("a");
+    }
+
     private List<String> readyServerNames() {
         return mDirectory.available(SERVICE, Set.of()).stream().map(BackendServer::name).toList();
     }
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
@@ -39,6 +39,16 @@
         assertThat(mServer.isBackingOff(0)).isFalse();
     }
 
+    @Test
+    void runsMoveFromAServerThatSaidItLeavesWhateverItsRecordSays() {
+        mServer.recordLeaving(0);
+        mServer.update(mServer.record(), 1);
+
+        assertThat(mServer.acceptsRequests()).isFalse();
+        assertThat(mServer.shouldMoveRuns(799)).isFalse();
+        assertThat(mServer.shouldMoveRuns(801)).isTrue();
+    }
+
     @Test
     void theWeightsVersionIsTheNewestReportedByAnySource() {
         mServer.updateNotice(EngineNotice.newBuilder().putWeights("m", 2).build(), 0);
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -49,6 +49,7 @@
                     "x-not-executed",
                     "x-signature",
                     "x-load",
+                    "x-leaving",
                     "x-weights",
                     "last-event-id",
                     "x-run-source",
--- a/gateway/src/test/java/org/ibisstand/gateway/ScriptedGateway.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/ScriptedGateway.java
@@ -30,6 +30,7 @@
 
     private final List<ScriptedServer> mServers = new ArrayList<>();
     private final GatewayDaemon mGateway;
+    private FleetState mState = new FleetState(Optional.empty(), Map.of(), List.of(), 1);
     private int mStartedServers;
 
     private ScriptedGateway(Clock clock) {
@@ -103,10 +104,20 @@
                             .setSlots(4)
                             .build());
         }
-        FleetState state =
+        mState =
                 new FleetState(
                         Optional.of(Samples.configuration(List.of(route))), Map.of(), records, 1);
-        mGateway.update(state).join();
+        mGateway.update(mState).join();
+    }
+
+    /** Sends the records of the servers again, which call all of them ready. */
+    void repeatRecords() {
+        mGateway.update(mState).join();
+    }
+
+    /** Returns the requests that reached one of the servers, in the order of their scripts. */
+    List<String> requests(int server) {
+        return mServers.get(server).requests();
     }
 
     /** Returns all requests that reached the servers. */
