Stop a run for a move only once its place elsewhere is sure

Callers of streams that may run only once saw them close without their end while their engine was about to load weights or to leave.

A move told the engine to stop the run before it was known whether any other engine could take it. The engine closed the stream. If its answer then came later than 600 ms, was lost or unreadable, if the connection broke, the stream ended more than 300 ms after the answer, or both engines refused the run once, the gateway gave the stream up. The weights of the run's memory were compared after the stop too, a refused stop made an ordinary end without a length look like a cut, a move could begin just before the gateway stopped, and one search that found no target ended the moves of the run for good.

A move now makes two calls. The first copies the run, which goes on, and reserves a place; if it fails, nothing has happened to the stream. The second stops the run, and copies the rest, if the target still serves with the run's weights, the memory is of these, and the gateway does not stop within 1.5 s. After it the move stays open for 4 s, less than engines keep the memory. If the stream ends without a usable answer, the run goes on from the first copy. An engine that refuses the run with 503 is tried again a few times within 3.1 s, not before its Retry-After, and not once it has been leaving for 1.5 s. Copies that are not used are freed. A run without a target searches again at later events, with growing pauses.

Evidence: RunMoveTest has one test for each of these failures. All pass now.

Tests that changed: the scripted engines answer both calls. The case of a response without a bound covers both calls. A hook of the simulated engine that runs ahead of a stop no longer holds the lock of all engines, as a run that is reset then may now be sent to another one. A response that is no object was taken for a run that goes on; its test now asks for doubt instead.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -19,6 +19,11 @@
     /** Requests that may run only once do not use connections that were idle for longer. */
     private static final long NON_RETRYABLE_MAXIMUM_IDLE_MILLISECONDS = 1_000;
 
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    /** Longer than any request lasts, in milliseconds. */
+    private static final long MAXIMUM_RETRY_AFTER = 3_600_000;
+
     private final RequestForwarder mForwarder;
     private final GatewayContext mGateway;
     private final ServerPlacement.Destination mDestination;
@@ -32,7 +37,7 @@
     private long mSentAt;
     private boolean mResponded;
     private boolean mDelimited;
-    private boolean mMoveRequested;
+    private int mPossibleStops;
     private boolean mReleased;
 
     Attempt(
@@ -130,6 +135,18 @@
         }
     }
 
+    /** Returns after which time the server wants the request again; zero if it does not say. */
+    long retryAfterMilliseconds() {
+        String text = mHead.map(head -> head.headers().get("Retry-After", "")).orElse("");
+        try {
+            double seconds = text.isEmpty() ? 0 : Double.parseDouble(text);
+            return (long) Math.clamp(seconds * MILLISECONDS_PER_SECOND, 0, MAXIMUM_RETRY_AFTER);
+        } catch (NumberFormatException e) {
+            // A date, which engines do not use.
+            return MAXIMUM_RETRY_AFTER;
+        }
+    }
+
     /** Returns the weights version that the engine changed to during the stream, if it did. */
     Optional<String> changedWeights() {
         return mRelay.flatMap(StreamRelay::changedWeights);
@@ -157,8 +174,13 @@
     }
 
     /** Notes that the engine was asked to stop the run, which it may do late. */
-    void moveRequested() {
-        mMoveRequested = true;
+    void stopRequested() {
+        mPossibleStops++;
+    }
+
+    /** Notes that the engine did not stop the run when it was last asked to, and will not. */
+    void stopRefused() {
+        mPossibleStops--;
     }
 
     /** Removes the attempt from the counts of its server and frees the buffered body. */
@@ -258,7 +280,9 @@
     @Override
     public void onFailure(String reason) {
         if (mForwarder.isCurrent(this)) {
-            mForwarder.runMover().streamEnded(() -> brokenOff(reason));
+            mForwarder
+                    .runMover()
+                    .streamEnded(new StreamEnd(StreamEnd.Kind.BROKEN, () -> brokenOff(reason)));
         }
     }
 
@@ -280,21 +304,26 @@
     }
 
     private void finishStream() {
-        // An engine that breaks off before an event, or stops a run, closes in the same way.
-        boolean isEndUnproven = !mDelimited && (!mRelay.get().hasEvents() || mMoveRequested);
+        StreamEnd.Kind kind = mDelimited ? StreamEnd.Kind.DELIMITED : StreamEnd.Kind.CLOSED;
+        boolean isBroken = mRelay.get().hasIncompleteEvent();
         mForwarder
                 .runMover()
                 .streamEnded(
-                        () -> {
-                            if (mRelay.get().hasIncompleteEvent()) {
-                                brokenOff("stream_ends_inside_event");
-                            } else if (isEndUnproven) {
-                                brokenOff("stream_end_unproven");
-                            } else {
-                                mServer.recordSuccess();
-                                mForwarder.streamCompleted(this);
-                            }
-                        });
+                        new StreamEnd(
+                                isBroken ? StreamEnd.Kind.BROKEN : kind, this::completeStream));
+    }
+
+    private void completeStream() {
+        // An engine that breaks off before an event, or stops a run, closes in the same way.
+        boolean isEndUnproven = !mDelimited && (!mRelay.get().hasEvents() || mPossibleStops > 0);
+        if (mRelay.get().hasIncompleteEvent()) {
+            brokenOff("stream_ends_inside_event");
+        } else if (isEndUnproven) {
+            brokenOff("stream_end_unproven");
+        } else {
+            mServer.recordSuccess();
+            mForwarder.streamCompleted(this);
+        }
     }
 
     private void finishBuffered(HttpResponse head) {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -44,6 +44,12 @@
      */
     private static final long LEAVING_GRACE_MILLISECONDS = 800;
 
+    /**
+     * For how long a leaving server still takes the runs that it stopped, or was about to take.
+     * Below the 2 s for which leaving servers take requests.
+     */
+    private static final long LEAVING_RESUMPTION_MILLISECONDS = 1_500;
+
     private final Address mAddress;
     private final StatedAvailability mAvailability;
     private final Deque<BackendConnection> mIdleConnections = new ArrayDeque<>();
@@ -200,6 +206,12 @@
                         && now - leavingSince > LEAVING_GRACE_MILLISECONDS);
     }
 
+    /** Returns whether a run whose KV cache is here may still be sent here. */
+    boolean resumesRuns(long now) {
+        return mLeavingSince == Long.MAX_VALUE
+                || now - mLeavingSince < LEAVING_RESUMPTION_MILLISECONDS;
+    }
+
     /** Returns whether the engine does not answer its own agent. */
     boolean isUnreachable(long now) {
         return notice(now).filter(EngineNotice::getUnreachable).isPresent();
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -135,6 +135,11 @@
         return isDraining() ? now() - mDrainsSince : 0;
     }
 
+    /** Returns whether this gateway stops within the given time. */
+    boolean stopsWithin(long milliseconds) {
+        return isDraining() && mStopsAt - now() < milliseconds;
+    }
+
     /** Returns whether a request will end before this gateway stops, if it does. */
     boolean endsBeforeStop(AdmittedRequest request) {
         if (!isDraining()) {
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.LoggedTask;
@@ -177,7 +178,7 @@
 
     /** Sends the request, or the request that resumes it, to one server. */
     void sendTo(ServerPlacement.Destination destination) {
-        if (refuseQuarantined()) {
+        if (mDone || refuseQuarantined()) {
             return;
         }
         boolean isRepeated = !mExcluded.add(destination.server());
@@ -256,7 +257,7 @@
         mLog.attemptEvent("not_sent", attempt, "reason", reason);
         endAttempt(attempt);
         if (mRunMover.isResuming()) {
-            mRunMover.resumeRejected(attempt, reason);
+            mRunMover.resumeRejected(reason, OptionalLong.of(0));
             return;
         }
         mRejectionCount++;
@@ -273,7 +274,12 @@
         endAttempt(attempt);
         if (mRunMover.isResuming()) {
             mLog.attemptEvent("not_run", attempt, "status", status);
-            mRunMover.resumeRejected(attempt, "refused_by_server");
+            boolean isMomentary = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+            mRunMover.resumeRejected(
+                    "refused_by_server",
+                    isMomentary
+                            ? OptionalLong.of(attempt.retryAfterMilliseconds())
+                            : OptionalLong.empty());
             return;
         }
         mRejectionCount++;
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
@@ -1,14 +1,9 @@
 package org.ibisstand.gateway;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Moves one run from an engine that will soon stop serving to another one, within the same response
@@ -18,32 +13,29 @@
  * before the load serves no requests for seconds, and a response that continues with other weights
  * or after the load is worthless or late. A copy takes a few milliseconds.
  *
- * <p>The stream ends without its last event and the engine responds to the move request, in either
- * order; the run resumes once both are known.
+ * <p>A first call copies the KV cache while the run continues, and reserves a place at the target.
+ * Only then does a second call stop the run, and copy the rest. The stream then ends without its
+ * last event and the engine responds to the second call, in either order; the run resumes once both
+ * are known. If the response is lost, the run resumes from the first copy.
  */
-final class RunMove implements ExchangeListener {
+final class RunMove {
     /** Covers twenty round trips between availability zones and the copies queued on two links. */
     private static final long RESPONSE_TIMEOUT_MILLISECONDS = 600;
 
-    /**
-     * How long the end of the stream may arrive after the response, which uses another connection.
-     * Below the pause of 400 ms that the platforms' specifications allow between events.
-     */
-    private static final long STREAM_END_TIMEOUT_MILLISECONDS = 300;
+    /** The run continues meanwhile, and its engine refuses another call. */
+    private static final long COPY_TIMEOUT_MILLISECONDS = 2_000;
 
-    /** The response holds the handle of a run's KV cache, which is far shorter. */
-    private static final int MAXIMUM_RESPONSE_BYTES = 1 << 14;
+    /** Less than the 5 s for which engines keep the KV cache of a stopped run. */
+    private static final long HANDLE_LIFETIME_MILLISECONDS = 4_000;
 
     private final RunMover mMover;
     private final GatewayContext mGateway;
     private final Attempt mAttempt;
     private final BackendServer mTarget;
-    private Optional<BackendClient.Exchange> mExchange = Optional.empty();
-    private Optional<RunMoveProtocol.StoppedRun> mStoppedRun = Optional.empty();
-    private Optional<Runnable> mStreamEndHandler = Optional.empty();
-    private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
-    private int mStatus;
-    private boolean mDone;
+    private Phase mPhase = Phase.COPYING;
+    private Optional<String> mCopy = Optional.empty();
+    private Optional<RunMoveProtocol.Reply> mStopReply = Optional.empty();
+    private Optional<StreamEnd> mStreamEnd = Optional.empty();
 
     RunMove(RunMover mover, GatewayContext gateway, Attempt attempt, BackendServer target) {
         mMover = mover;
@@ -52,113 +44,194 @@
         mTarget = target;
     }
 
-    void start(String requestIdentifier) {
-        BackendServer server = mAttempt.server();
-        FullHttpRequest moveRequest =
-                mGateway.runMoveProtocol()
-                        .moveRequest(requestIdentifier, mTarget.address().toString());
-        moveRequest.headers().set(HttpHeaderNames.HOST, server.address().toString());
-        mExchange =
-                Optional.of(
-                        mGateway.backendClient()
-                                .send(
-                                        server,
-                                        moveRequest,
-                                        BackendConnection.NO_REQUEST_IDENTIFIER,
-                                        Long.MAX_VALUE,
-                                        this));
-        mGateway.loop()
-                .schedule(
-                        this::responseTimedOut,
-                        RESPONSE_TIMEOUT_MILLISECONDS,
-                        TimeUnit.MILLISECONDS);
+    private enum Phase {
+        COPYING,
+        STOPPING,
+        DONE
     }
 
     /**
-     * Handles the end of the stream, which may be the effect of this move.
+     * What is known of a run that has stopped.
      *
-     * @param handler runs if the run was not stopped
+     * @param handle the identifier of its KV cache
+     * @param isCopied whether the target has a copy
+     * @param isStreamComplete whether all events from before the stop arrived; a missing one may
+     *     state that the weights changed
      */
-    void streamEnded(Runnable handler) {
-        mStreamEndHandler = Optional.of(handler);
-        mStoppedRun.ifPresent(this::complete);
+    record StoppedRun(String handle, boolean isCopied, boolean isStreamComplete) {}
+
+    void start(String requestIdentifier) {
+        FullHttpRequest copyRequest =
+                mGateway.runMoveProtocol().copyRequest(requestIdentifier, targetAddress());
+        call(copyRequest, reply -> copyAnswered(reply, requestIdentifier));
+        schedule(this::copyTimedOut, COPY_TIMEOUT_MILLISECONDS);
     }
 
-    /** Cancels the move without notifying the mover, because the request has ended. */
-    void cancel() {
-        if (!mDone) {
-            mDone = true;
-            mExchange.ifPresent(BackendClient.Exchange::cancel);
-            mBody.release();
+    /** Handles the end of the stream, which may be the effect of this move. */
+    void streamEnded(StreamEnd end) {
+        if (mPhase != Phase.STOPPING) {
+            abandon();
+            end.handler().run();
+            return;
+        }
+        mStreamEnd = Optional.of(end);
+        if (mStopReply.isPresent()) {
+            complete(mStopReply.get());
+        } else {
+            schedule(
+                    () -> complete(new RunMoveProtocol.Unclear("no response")),
+                    RESPONSE_TIMEOUT_MILLISECONDS);
         }
     }
 
-    @Override
-    public void onNotSent(String reason) {
-        fail(reason);
+    /** Gives up the move without notifying the mover; copies that exist are freed. */
+    void abandon() {
+        if (mPhase != Phase.DONE) {
+            mPhase = Phase.DONE;
+            mCopy.ifPresent(this::release);
+        }
     }
 
-    @Override
-    public void onHead(HttpResponse head) {
-        mStatus = head.status().code();
+    private void copyAnswered(RunMoveProtocol.Reply reply, String requestIdentifier) {
+        if (mPhase == Phase.DONE) {
+            releaseIfStored(reply);
+            return;
+        }
+        switch (reply) {
+            case RunMoveProtocol.Stored stored when stored.isCopied() -> {
+                mCopy = Optional.of(stored.handle());
+                mMover.obstacleToStop(mAttempt, mTarget)
+                        .ifPresentOrElse(this::fail, () -> stop(requestIdentifier));
+            }
+            case RunMoveProtocol.Stored stored -> {
+                mCopy = Optional.of(stored.handle());
+                fail("not copied");
+            }
+            case RunMoveProtocol.Refused refused -> fail(refused.reason());
+            case RunMoveProtocol.RunUnknown unknown -> fail("run unknown");
+            case RunMoveProtocol.Unclear unclear -> fail(unclear.reason());
+        }
+    }
+
+    private void copyTimedOut() {
+        if (mPhase == Phase.COPYING) {
+            fail("response timed out");
+        }
     }
 
-    @Override
-    public void onData(ByteBuf data) {
-        if (mDone) {
+    private void stop(String requestIdentifier) {
+        mPhase = Phase.STOPPING;
+        mAttempt.stopRequested();
+        FullHttpRequest stopRequest =
+                mGateway.runMoveProtocol().stopRequest(requestIdentifier, targetAddress());
+        call(stopRequest, this::stopAnswered);
+        schedule(this::handleExpired, HANDLE_LIFETIME_MILLISECONDS);
+    }
+
+    private void stopAnswered(RunMoveProtocol.Reply reply) {
+        if (mPhase == Phase.DONE) {
+            releaseIfStored(reply);
             return;
         }
-        if (mBody.readableBytes() + data.readableBytes() > MAXIMUM_RESPONSE_BYTES) {
-            fail("overlong_answer");
-        } else {
-            mBody = mBody.isReadable() ? mBody : Unpooled.buffer(data.readableBytes());
-            mBody.writeBytes(data, data.readerIndex(), data.readableBytes());
+        mStopReply = Optional.of(reply);
+        if (mStreamEnd.isPresent()) {
+            complete(reply);
+        } else if (reply instanceof RunMoveProtocol.Refused refused) {
+            mAttempt.stopRefused();
+            fail(refused.reason());
+        } else if (reply instanceof RunMoveProtocol.Unclear unclear) {
+            mMover.stopUnclear(mAttempt, unclear.reason());
         }
     }
 
-    @Override
-    public void onComplete(boolean delimited) {
-        if (mDone) {
+    /** Completes the move once the stream has ended and no more is expected of the stop. */
+    private void complete(RunMoveProtocol.Reply reply) {
+        if (mPhase == Phase.DONE) {
             return;
         }
-        mStoppedRun =
-                mGateway.runMoveProtocol().parseResponse(mStatus, ByteBufUtil.getBytes(mBody));
-        if (mStoppedRun.isEmpty()) {
-            fail("status " + mStatus + " " + mBody.toString(StandardCharsets.UTF_8));
-        } else if (mStreamEndHandler.isPresent()) {
-            complete(mStoppedRun.get());
-        } else {
-            RunMoveProtocol.StoppedRun stoppedRun = mStoppedRun.get();
-            mGateway.loop()
-                    .schedule(
-                            () -> complete(stoppedRun),
-                            STREAM_END_TIMEOUT_MILLISECONDS,
-                            TimeUnit.MILLISECONDS);
+        StreamEnd end = mStreamEnd.orElseThrow();
+        switch (reply) {
+            case RunMoveProtocol.Stored stored ->
+                    resume(new StoppedRun(stored.handle(), stored.isCopied(), true));
+            case RunMoveProtocol.Refused refused -> {
+                mAttempt.stopRefused();
+                endOnItsOwn(end, refused.reason());
+            }
+            case RunMoveProtocol.RunUnknown unknown -> {
+                mAttempt.stopRefused();
+                if (end.kind() == StreamEnd.Kind.BROKEN) {
+                    resumeFromCopy();
+                } else {
+                    endOnItsOwn(end, "run unknown");
+                }
+            }
+            case RunMoveProtocol.Unclear unclear -> {
+                if (end.kind() == StreamEnd.Kind.DELIMITED) {
+                    endOnItsOwn(end, unclear.reason());
+                } else {
+                    resumeFromCopy();
+                }
+            }
         }
     }
 
-    @Override
-    public void onFailure(String reason) {
-        fail(reason);
+    private void resumeFromCopy() {
+        resume(new StoppedRun(mCopy.orElseThrow(), true, true));
     }
 
-    private void responseTimedOut() {
-        if (mStoppedRun.isEmpty()) {
-            fail("response timed out");
-        }
+    private void resume(StoppedRun stoppedRun) {
+        mPhase = Phase.DONE;
+        mMover.runStopped(mAttempt, mTarget, stoppedRun);
+    }
+
+    /** Handles a stream that ended in the middle of the move, yet not by it. */
+    private void endOnItsOwn(StreamEnd end, String reason) {
+        fail(reason);
+        end.handler().run();
     }
 
-    private void complete(RunMoveProtocol.StoppedRun stoppedRun) {
-        if (!mDone) {
-            cancel();
-            mMover.runStopped(mAttempt, mTarget, stoppedRun, mStreamEndHandler.isPresent());
+    /** Gives up the stop: the end of the stream, or any response, would come too late. */
+    private void handleExpired() {
+        if (mPhase != Phase.STOPPING) {
+            return;
+        }
+        Optional<RunMoveProtocol.Stored> stored =
+                mStopReply
+                        .filter(RunMoveProtocol.Stored.class::isInstance)
+                        .map(RunMoveProtocol.Stored.class::cast);
+        if (stored.isPresent()) {
+            resume(new StoppedRun(stored.get().handle(), stored.get().isCopied(), false));
+        } else {
+            fail("stop unclear");
         }
     }
 
     private void fail(String reason) {
-        if (!mDone) {
-            cancel();
-            mMover.moveFailed(mAttempt, mTarget, reason, mStreamEndHandler);
+        abandon();
+        mMover.moveFailed(mAttempt, mTarget, reason);
+    }
+
+    private void releaseIfStored(RunMoveProtocol.Reply reply) {
+        if (reply instanceof RunMoveProtocol.Stored stored) {
+            release(stored.handle());
         }
     }
+
+    /** Frees a copy; if that fails, the engines free it after a while. */
+    private void release(String handle) {
+        mGateway.metrics().incrementCounter("run_copies_freed");
+        call(mGateway.runMoveProtocol().releaseRequest(handle), reply -> {});
+    }
+
+    private void call(FullHttpRequest request, Consumer<RunMoveProtocol.Reply> listener) {
+        RunMoveCall.send(mGateway, mAttempt.server(), request, listener);
+    }
+
+    private void schedule(Runnable task, long milliseconds) {
+        mGateway.loop().schedule(task, milliseconds, TimeUnit.MILLISECONDS);
+    }
+
+    private String targetAddress() {
+        return mTarget.address().toString();
+    }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
@@ -1,6 +1,11 @@
 package org.ibisstand.gateway;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Moves the run behind one stream to another engine, within the same response. Confined to the
@@ -8,15 +13,22 @@
  * any engine to resume the stream.
  */
 final class RunMover {
-    /** How many engines are tried as the target of a move; one without memory rejects it. */
-    private static final int MAXIMUM_FAILED_MOVES = 3;
+    /** The pause after a first move that failed, or found no target; doubled after each. */
+    private static final long FIRST_PAUSE_MILLISECONDS = 50;
+
+    private static final long MAXIMUM_PAUSE_MILLISECONDS = 800;
+
+    /** Covers the response to a stop, and requests to two engines to resume the run. */
+    private static final long LONGEST_MOVE_MILLISECONDS = 1_500;
 
     private final RequestForwarder mForwarder;
     private final GatewayContext mGateway;
     private final RequestLog mLog;
     private Optional<RunMove> mMove = Optional.empty();
-    private Optional<Resumption> mResumption = Optional.empty();
-    private int mFailedMoves;
+    private Optional<RunResumption> mResumption = Optional.empty();
+    private long mNextMoveAt;
+    private long mPauseMilliseconds = FIRST_PAUSE_MILLISECONDS;
+    private boolean mStayLogged;
 
     RunMover(RequestForwarder forwarder, GatewayContext gateway, RequestLog log) {
         mForwarder = forwarder;
@@ -24,15 +36,6 @@
         mLog = log;
     }
 
-    /**
-     * A stopped run to resume.
-     *
-     * @param runSource the header value that locates the run's KV cache
-     * @param stoppedEngine the engine that stopped the run and keeps its KV cache for a while
-     * @param scope the scope that the run's KV cache was computed in
-     */
-    private record Resumption(String runSource, BackendServer stoppedEngine, CacheScope scope) {}
-
     /** Returns whether the current attempt resumes a stopped run. */
     boolean isResuming() {
         return mResumption.isPresent();
@@ -40,7 +43,7 @@
 
     /** Returns the location of the KV cache of the run that the current attempt resumes. */
     Optional<String> runSource() {
-        return mResumption.map(Resumption::runSource);
+        return mResumption.map(RunResumption::runSource);
     }
 
     /** Makes the next attempt start a new run. */
@@ -49,13 +52,14 @@
     }
 
     void cancelMove() {
-        mMove.ifPresent(RunMove::cancel);
+        mMove.ifPresent(RunMove::abandon);
         mMove = Optional.empty();
     }
 
     /**
-     * Moves a run whose engine will soon stop serving, if another engine has memory for it. A run
-     * that resumes at the engine that stopped it does not move again.
+     * Moves a run whose engine will soon stop serving, if another engine has memory for it. Called
+     * again with each event, since engines that have no room now may have it later. A run that
+     * resumes at the engine that stopped it does not move again.
      */
     void move(Attempt attempt) {
         boolean isResumedAtSource =
@@ -64,58 +68,90 @@
                         .isPresent();
         if (!mForwarder.admitted().isForEngine()
                 || mMove.isPresent()
-                || mFailedMoves == MAXIMUM_FAILED_MOVES
-                || isResumedAtSource) {
+                || mGateway.now() < mNextMoveAt
+                || isResumedAtSource
+                || mGateway.stopsWithin(LONGEST_MOVE_MILLISECONDS)) {
             return;
         }
         boolean isMovable = mForwarder.admitted().canMoveRun() && isKvCacheInScope(attempt);
         Optional<ServerPlacement.Destination> destination =
-                isMovable
-                        ? mGateway.promptPlacement()
-                                .chooseMoveTarget(
-                                        mForwarder
-                                                .admitted()
-                                                .placementRequest(mForwarder.excludedServers()),
-                                        attempt.server(),
-                                        attempt.scope())
-                        : Optional.empty();
+                isMovable ? chooseTarget(attempt) : Optional.empty();
         if (destination.isEmpty()) {
-            mFailedMoves = MAXIMUM_FAILED_MOVES;
-            mLog.serverEvent("run_stays", attempt.server(), "movable", isMovable);
+            pauseMoves();
+            logStay(attempt, isMovable);
             return;
         }
         RunMove move = new RunMove(this, mGateway, attempt, destination.get().server());
         mMove = Optional.of(move);
-        attempt.moveRequested();
         move.start(mForwarder.request().identifier());
     }
 
-    /**
-     * Resumes a stopped run from its KV cache, without another prefill.
-     *
-     * @param isComplete whether all events from before the stop arrived; a missing one may state
-     *     that the weights changed
-     */
-    void runStopped(
-            Attempt attempt,
-            BackendServer target,
-            RunMoveProtocol.StoppedRun stoppedRun,
-            boolean isComplete) {
+    private Optional<ServerPlacement.Destination> chooseTarget(Attempt attempt) {
+        return mGateway.promptPlacement()
+                .chooseMoveTarget(
+                        mForwarder.admitted().placementRequest(Set.of()),
+                        attempt.server(),
+                        attempt.scope());
+    }
+
+    private void pauseMoves() {
+        mNextMoveAt = mGateway.now() + mPauseMilliseconds;
+        mPauseMilliseconds = Math.min(2 * mPauseMilliseconds, MAXIMUM_PAUSE_MILLISECONDS);
+    }
+
+    private void logStay(Attempt attempt, boolean isMovable) {
+        if (!mStayLogged) {
+            mStayLogged = true;
+            mLog.serverEvent("run_stays", attempt.server(), "movable", isMovable);
+        }
+    }
+
+    /** Returns why a run whose KV cache was copied must not be stopped, if it must not. */
+    Optional<String> obstacleToStop(Attempt attempt, BackendServer target) {
+        if (!isKvCacheInScope(attempt)) {
+            return Optional.of("memory_of_other_weights");
+        }
+        long observed = target.observedWeights(attempt.model().orElseThrow());
+        boolean isTargetReady =
+                target.acceptsRequests()
+                        && !target.isLoading(mGateway.now())
+                        && observed == attempt.scope().weights();
+        if (!isTargetReady) {
+            return Optional.of("target leaves or loads");
+        }
+        return mGateway.stopsWithin(LONGEST_MOVE_MILLISECONDS)
+                ? Optional.of("gateway stops")
+                : Optional.empty();
+    }
+
+    /** Notes that the engine may have stopped the run, and did not say so. */
+    void stopUnclear(Attempt attempt, String reason) {
+        mLog.serverEvent("run_stop_unclear", attempt.server(), "reason", reason);
+    }
+
+    /** Resumes a stopped run from its KV cache, without another prefill. */
+    void runStopped(Attempt attempt, BackendServer target, RunMove.StoppedRun stoppedRun) {
         BackendServer stoppedEngine = attempt.server();
-        mFailedMoves = 0;
+        mPauseMilliseconds = FIRST_PAUSE_MILLISECONDS;
+        mStayLogged = false;
         mMove = Optional.empty();
         attempt.cancel();
         mForwarder.runStopped(attempt);
-        mLog.runMoved(attempt, target, stoppedRun.isCopied(), isComplete);
-        if (!isComplete || !isKvCacheInScope(attempt)) {
+        mLog.runMoved(attempt, target, stoppedRun.isCopied(), stoppedRun.isStreamComplete());
+        if (!stoppedRun.isStreamComplete() || !isKvCacheInScope(attempt)) {
             mGateway.metrics().incrementCounter("runs_lost");
             restartOrFail("memory_of_other_weights");
             return;
         }
         mGateway.metrics().incrementCounter("runs_moved");
         String runSource = stoppedEngine.address() + "/" + stoppedRun.handle();
-        mResumption = Optional.of(new Resumption(runSource, stoppedEngine, attempt.scope()));
-        mForwarder.sendTo(destination(stoppedRun.isCopied() ? target : stoppedEngine));
+        List<RunResumption.Place> places = new ArrayList<>();
+        places.add(new RunResumption.Place(stoppedEngine, runSource, 0));
+        if (stoppedRun.isCopied()) {
+            places.addFirst(new RunResumption.Place(target, runSource, 0));
+        }
+        mResumption = Optional.of(new RunResumption(stoppedEngine, attempt.scope(), places));
+        resume("no_server");
     }
 
     /**
@@ -130,38 +166,56 @@
     }
 
     /** Handles a run that was not stopped; its stream continues, or has ended on its own. */
-    void moveFailed(
-            Attempt attempt,
-            BackendServer target,
-            String reason,
-            Optional<Runnable> streamEndHandler) {
+    void moveFailed(Attempt attempt, BackendServer target, String reason) {
         mMove = Optional.empty();
-        mFailedMoves++;
-        mForwarder.excludedServers().add(target);
+        pauseMoves();
         target.recordRefusal(mGateway.now());
         mLog.serverEvent("run_not_moved", attempt.server(), "reason", target.name() + " " + reason);
         mGateway.metrics().incrementCounter("runs_not_moved");
-        streamEndHandler.ifPresent(Runnable::run);
     }
 
     /**
-     * Handles the end of a stream, complete or not. The handler runs at once, unless a move is in
+     * Handles the end of a stream, complete or not. Its handler runs at once, unless a move is in
      * progress, which may have caused the end.
      */
-    void streamEnded(Runnable handler) {
-        mMove.ifPresentOrElse(move -> move.streamEnded(handler), handler);
+    void streamEnded(StreamEnd end) {
+        mMove.ifPresentOrElse(move -> move.streamEnded(end), end.handler());
     }
 
     /**
-     * Handles a rejected resume. If a copy of the run could not be used, the engine that stopped
-     * the run may resume it, once.
+     * Handles a rejected request to resume a run: it goes to the other engine that has the run's KV
+     * cache, or to the same one later.
+     *
+     * @param pauseMilliseconds after which the engine may accept the run; empty if it will not
      */
-    void resumeRejected(Attempt attempt, String reason) {
-        BackendServer stoppedEngine = mResumption.get().stoppedEngine();
-        if (attempt.server() != stoppedEngine) {
-            mForwarder.sendTo(destination(stoppedEngine));
-        } else {
+    void resumeRejected(String reason, OptionalLong pauseMilliseconds) {
+        pauseMilliseconds.ifPresent(
+                pause -> mResumption.orElseThrow().refusedUntil(mGateway.now() + pause));
+        resume(reason);
+    }
+
+    private void resume(String reason) {
+        RunResumption resumption = mResumption.orElseThrow();
+        Optional<RunResumption.Retry> retry = resumption.next(mGateway.now());
+        if (retry.isEmpty()) {
             restartOrFail(reason);
+            return;
+        }
+        ServerPlacement.Destination destination =
+                new ServerPlacement.Destination(
+                        retry.get().place().server(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        resumption.scope(),
+                        0);
+        if (retry.get().pauseMilliseconds() == 0) {
+            mForwarder.sendTo(destination);
+        } else {
+            mGateway.loop()
+                    .schedule(
+                            () -> mForwarder.sendTo(destination),
+                            retry.get().pauseMilliseconds(),
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -173,10 +227,4 @@
             mForwarder.fail(reason);
         }
     }
-
-    private ServerPlacement.Destination destination(BackendServer server) {
-        CacheScope scope = mResumption.get().scope();
-        return new ServerPlacement.Destination(
-                server, Optional.empty(), Optional.empty(), scope, 0);
-    }
 }
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -48,6 +48,9 @@
             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
 
+    /** Longer than a move and the requests that resume its run take together. */
+    private static final long TIMEOUT_MILLISECONDS = 9_000;
+
     /**
      * More than the socket buffers hold of bytes that one socket sent and its peer did not read.
      */
@@ -160,7 +163,7 @@
                         + "0\r\n\r\n";
         ScriptedServer.Script repeating =
                 (request, identifier, connection) -> {
-                    if (request.startsWith("POST /move/")) {
+                    if (!request.startsWith("POST /p/")) {
                         movable.respond(request, identifier, connection);
                     } else if (header(request, "x-run-source").isEmpty()) {
                         used.add(connection);
@@ -232,10 +235,14 @@
             throws Exception {
         ScriptedServer.Script stopping =
                 (request, identifier, connection) -> {
-                    if (request.startsWith("POST /move/")) {
+                    if (request.startsWith("POST /copy/")) {
+                        write(connection, "HTTP/1.1 200 X\r\n\r\ncopy");
+                    } else if (request.startsWith("POST /move/")) {
                         mMoveRequested.countDown();
                         pause(100);
                         write(connection, responseToMove);
+                    } else if (!header(request, "x-run-source").isEmpty()) {
+                        refuse(request, identifier, connection);
                     } else {
                         write(
                                 connection,
@@ -260,9 +267,13 @@
     void aStreamWithoutALengthThatALateMoveStoppedLookedComplete() throws Exception {
         ScriptedServer.Script stopping =
                 (request, identifier, connection) -> {
-                    if (request.startsWith("POST /move/")) {
+                    if (request.startsWith("POST /copy/")) {
+                        write(connection, "HTTP/1.1 200 X\r\n\r\ncopy");
+                    } else if (request.startsWith("POST /move/")) {
                         mMoveRequested.countDown();
                         pause(1_000);
+                    } else if (!header(request, "x-run-source").isEmpty()) {
+                        refuse(request, identifier, connection);
                     } else {
                         write(
                                 connection,
@@ -306,7 +317,13 @@
         assertThat(response).endsWith("0\r\n\r\n");
     }
 
-    private static void pause(long milliseconds) {
+    private static void refuse(String request, String identifier, Socket connection)
+            throws IOException {
+        completeResponse(503, MovableRunEngine.NOT_EXECUTED_HEADER, "")
+                .respond(request, identifier, connection);
+    }
+
+    static void pause(long milliseconds) {
         try {
             Thread.sleep(milliseconds);
         } catch (InterruptedException e) {
@@ -326,15 +343,16 @@
         assertThat(mServers.getFirst().requests()).hasSize(1);
     }
 
-    @Test
-    void anUnboundedResponseToAMoveIsReadOnlyUpToItsLimit() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"POST /copy/", "POST /move/"})
+    void anUnboundedResponseToAMoveIsReadOnlyUpToItsLimit(String unboundedCall) throws Exception {
         AtomicLong sentBytes = new AtomicLong();
         ScriptedServer.Script movable =
                 new MovableRunEngine(
                         mNoticesDelivered, mMoveRequested, MovableRunEngine.Outcome.NOT_STOPPED);
         ScriptedServer.Script unbounded =
                 (request, identifier, connection) -> {
-                    if (request.startsWith("POST /move/")) {
+                    if (request.startsWith(unboundedCall)) {
                         sendUnboundedBody(connection, sentBytes);
                     } else {
                         movable.respond(request, identifier, connection);
@@ -420,10 +438,10 @@
                 .join();
     }
 
-    private static RoutingConfiguration configuration(Repetition repetition) {
+    static RoutingConfiguration configuration(Repetition repetition) {
         return new RoutingConfiguration(
                 1,
-                List.of(Samples.route("/p/", repetition)),
+                List.of(Samples.route("/p/", repetition, TIMEOUT_MILLISECONDS)),
                 List.of(
                         new RoutedService(
                                 "service",
@@ -447,7 +465,7 @@
         }
     }
 
-    private static String request(String key) {
+    static String request(String key) {
         return "POST /p/ HTTP/1.1\r\nHost: h.example\r\nx-request: r1\r\nAuthorization: Bearer "
                 + key
                 + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineHarness.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineHarness.java
@@ -131,13 +131,23 @@
     /** Records which moves the gateway requests, before it sends the request. */
     private final class RecordingRunMoveProtocol implements RunMoveProtocol {
         @Override
-        public FullHttpRequest moveRequest(String request, String target) {
+        public FullHttpRequest copyRequest(String request, String target) {
             mRequestedMoves.add(request);
-            return Samples.RUN_MOVE_PROTOCOL.moveRequest(request, target);
+            return Samples.RUN_MOVE_PROTOCOL.copyRequest(request, target);
         }
 
         @Override
-        public Optional<StoppedRun> parseResponse(int status, byte[] body) {
+        public FullHttpRequest stopRequest(String request, String target) {
+            return Samples.RUN_MOVE_PROTOCOL.stopRequest(request, target);
+        }
+
+        @Override
+        public FullHttpRequest releaseRequest(String handle) {
+            return Samples.RUN_MOVE_PROTOCOL.releaseRequest(handle);
+        }
+
+        @Override
+        public Reply parseResponse(int status, byte[] body) {
             return Samples.RUN_MOVE_PROTOCOL.parseResponse(status, body);
         }
     }
--- a/gateway/src/test/java/org/ibisstand/gateway/MovableRunEngine.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/MovableRunEngine.java
@@ -10,7 +10,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-/** Sends three events, and waits after the second for the request that moves the run. */
+/**
+ * Sends three events, and waits after the second for the request that stops the run, or for the one
+ * that copies it if that is refused.
+ */
 final class MovableRunEngine implements ScriptedServer.Script {
     static final String STREAM_HEAD =
             "HTTP/1.1 200 X\r\nx-request: r1\r\nx-signature: s\r\n"
@@ -29,7 +32,8 @@
         NOT_COPIED("503", "handle"),
         COPY_REJECTED("200", "handle"),
         LOST("200", "handle"),
-        NOT_STOPPED("503", "");
+        NOT_STOPPED("503", ""),
+        NO_ROOM("503", "");
 
         private final String mStatus;
         private final String mHandle;
@@ -56,7 +60,11 @@
 
     @Override
     public void respond(String request, String identifier, Socket connection) throws IOException {
-        if (request.startsWith("POST /move/")) {
+        if (request.startsWith("DELETE /handle/")) {
+            completeResponse(200, "", "").respond(request, identifier, connection);
+        } else if (request.startsWith("POST /copy/") && mOutcome != Outcome.NO_ROOM) {
+            completeResponse(200, "", "copy").respond(request, identifier, connection);
+        } else if (!request.startsWith("POST /p/")) {
             mStopped = !mOutcome.mHandle.isEmpty();
             mMoveRequested.countDown();
             write(
@@ -78,7 +86,7 @@
         return switch (mOutcome) {
             case COPIED -> !mStopped;
             case NOT_COPIED, COPY_REJECTED -> mStopped;
-            case LOST, NOT_STOPPED -> false;
+            case LOST, NOT_STOPPED, NO_ROOM -> false;
         };
     }
 
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -56,26 +56,44 @@
                     Set.of("x-team", "x-salt", "x-source", "x-deadline"));
 
     /**
-     * Moves runs by a request whose response body is the handle of the stopped run, if it was
-     * stopped, and whose status is 200 if the target has a copy of its KV cache.
+     * Copies and stops runs by requests whose response body is the handle of the run's KV cache, if
+     * the request was carried out, and whose status is 200 if the target has a copy of it.
      */
     static final RunMoveProtocol RUN_MOVE_PROTOCOL =
             new RunMoveProtocol() {
                 @Override
-                public FullHttpRequest moveRequest(String request, String target) {
+                public FullHttpRequest copyRequest(String request, String target) {
+                    return call(HttpMethod.POST, "/copy/" + target, request);
+                }
+
+                @Override
+                public FullHttpRequest stopRequest(String request, String target) {
+                    return call(HttpMethod.POST, "/move/" + target, request);
+                }
+
+                @Override
+                public FullHttpRequest releaseRequest(String handle) {
+                    return call(HttpMethod.DELETE, "/handle/" + handle, "");
+                }
+
+                private FullHttpRequest call(HttpMethod method, String path, String request) {
                     FullHttpRequest call =
-                            new DefaultFullHttpRequest(
-                                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/move/" + target);
+                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path);
                     call.headers().set(HEADER_NAMES.requestIdentifier(), request);
                     return call;
                 }
 
                 @Override
-                public Optional<StoppedRun> parseResponse(int status, byte[] body) {
+                public Reply parseResponse(int status, byte[] body) {
                     String handle = new String(body, StandardCharsets.UTF_8);
-                    return handle.isEmpty()
-                            ? Optional.empty()
-                            : Optional.of(new StoppedRun(handle, status == 200));
+                    if (!handle.isEmpty()) {
+                        return new Stored(handle, status == 200);
+                    }
+                    return switch (status) {
+                        case 404 -> new RunUnknown();
+                        case 503 -> new Refused("refused");
+                        default -> new Unclear("status " + status);
+                    };
                 }
             };
 
@@ -111,12 +129,16 @@
     }
 
     static Route route(String pathPrefix, Repetition repetition) {
+        return route(pathPrefix, repetition, 2_000);
+    }
+
+    static Route route(String pathPrefix, Repetition repetition, long timeoutMilliseconds) {
         return new Route(
                 "route " + pathPrefix,
                 HOST,
                 pathPrefix,
                 repetition,
-                2_000,
+                timeoutMilliseconds,
                 500,
                 0,
                 List.of(new WeightedService("service", 1)),
--- a/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/VersionedEngine.java
@@ -41,7 +41,7 @@
     private long mVersion;
     private boolean mLoading;
     private boolean mRejectsCopies;
-    private Runnable mBeforeStop = () -> {};
+    private volatile Runnable mBeforeStop = () -> {};
     private Runnable mOnStopped = () -> {};
     private final SequencedMap<String, CountDownLatch> mDelayedRefusals = new LinkedHashMap<>();
     private boolean mDelaysRefusals;
@@ -129,9 +129,7 @@
 
     /** Sets a task that runs when the gateway wants a run stopped, right before it is. */
     void beforeStop(Runnable task) {
-        synchronized (mFleet) {
-            mBeforeStop = task;
-        }
+        mBeforeStop = task;
     }
 
     /** Delays the response to every request that it refuses from now on. */
@@ -316,6 +314,10 @@
 
     @Override
     public void respond(String request, String identifier, Socket connection) throws IOException {
+        if (RunCopies.isCall(request)) {
+            new RunCopies(mFleet, this).respond(request, identifier, connection);
+            return;
+        }
         if (request.startsWith("POST /move/")) {
             move(request, identifier, connection);
             return;
@@ -447,9 +449,9 @@
         String target = request.substring("POST /move/".length(), request.indexOf(" HTTP"));
         String handle = "";
         boolean isCopied;
+        mBeforeStop.run();
         synchronized (mFleet) {
             isCopied = !mRejectsCopies;
-            mBeforeStop.run();
             Run run = mFleet.runs().get(identifier);
             if (run != null && run.mEngine == this) {
                 mFleet.runs().remove(identifier);
@@ -466,8 +468,7 @@
         if (handle.isEmpty()) {
             addStep(identifier, Step.NOT_STOPPED);
         }
-        completeResponse(isCopied ? 200 : SERVICE_UNAVAILABLE, "", handle)
-                .respond(request, identifier, connection);
+        RunCopies.stopResponse(handle, isCopied).respond(request, identifier, connection);
     }
 
     private String responseHead(String request) {
