Write again what a failed sync may have lost instead of ending the member

Cause: a failed sync ended the member's part in its group for good. It counted on a restart, and opening the log wrote before anything else, so a restart that met a disk still at fault ended too. Each disk cost one member; the second of three cost the majority. The restart itself was unsafe as well: what it read counted as durable, though a killed process, or one whose sync had failed, leaves writes that can be read and that no sync has covered.

The store now only reads as it is opened. Its first operation writes again and syncs what no sync is known to have confirmed; before that the member takes no part. After a failed sync the store reads its files again and checks that everything confirmed is there, and LogWriter repeats all outputs since the last sync, without the records that a later one of them removes. The same bytes go to the same place, so their pages are dirty again and the next sync covers them. Meanwhile the member promises nothing, and a leader goes on with the others.

MemoryDisk loses what a failed sync may lose, as Linux does, and refuses single operations.

--- a/base/src/main/java/org/ibisstand/base/ErrorCode.java
+++ b/base/src/main/java/org/ibisstand/base/ErrorCode.java
@@ -38,7 +38,9 @@
     SERVICE_UNKNOWN(404, "Name a service of the configuration that the team may use."),
     SETTINGS_INVALID(400, "Correct the settings file at the named path."),
     STORAGE_DAMAGED(500, "The log is damaged; replace the member as the operators' page says."),
-    STORAGE_FAILED(500, "A sync failed; check the disk, then restart the member."),
+    STORAGE_FAILED(
+            500,
+            "A sync failed, which the member repeats, or files cannot be read; check the disk."),
     STORAGE_REFUSED(503, "The disk refuses writes; free space, and the member resumes by itself."),
     STREAM_BROKEN(502, "The answer is incomplete; the verdict says whether to resend."),
     TEAM_OVER_LIMIT(429, "The team is at its limit; return after the time given."),
--- a/consensus/src/main/java/org/ibisstand/consensus/Output.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Output.java
@@ -48,6 +48,33 @@
             truncateFrom.ifPresent(store::truncateFrom);
             store.append(records);
         }
+
+        /** Returns whether the log starts anew after the snapshot. */
+        boolean replacesLog() {
+            return snapshot.isPresent() && !snapshotContinues;
+        }
+
+        /** Returns this output without its changes to the log and the snapshot. */
+        Persist withoutLog() {
+            return new Persist(
+                    sequence,
+                    termAndVote,
+                    Optional.empty(),
+                    false,
+                    OptionalLong.empty(),
+                    List.of());
+        }
+
+        /** Returns this output without the records from an index on. */
+        Persist withoutRecordsFrom(long index) {
+            return new Persist(
+                    sequence,
+                    termAndVote,
+                    snapshot,
+                    snapshotContinues,
+                    truncateFrom,
+                    records.stream().filter(record -> record.index() < index).toList());
+        }
     }
 
     /**
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySoakTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySoakTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,14 +12,17 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import org.ibisstand.storage.MemoryDisk;
+import org.ibisstand.storage.MemoryDisk.Operation;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against a group that loses its majority for good, or an acknowledged entry, as machines
- * are replaced at other addresses, lose their disks, freeze and restart, one after the other and
- * overlapping, never more at once than the group tolerates. The system property {@code
- * ibisstand.replacement.seeds} sets the number of seeds, {@code ibisstand.seed} the first.
+ * are replaced at other addresses, lose their disks, freeze, restart and have full or failing
+ * disks, one after the other and overlapping, never more at once than the group tolerates. The
+ * system property {@code ibisstand.replacement.seeds} sets the number of seeds, {@code
+ * ibisstand.seed} the first.
  */
 class VoterPolicySoakTest {
     private static final int SEED_COUNT = Integer.getInteger("ibisstand.replacement.seeds", 12);
@@ -66,6 +70,8 @@
         REPLACE,
         LOSE_DISK,
         FREEZE,
+        FULL_DISK,
+        FAILING_SYNCS,
         RESTART,
         RESTART_ALL
     }
@@ -147,6 +153,8 @@
                 mCluster.freeze(machine.mMember, freezeMillis);
                 markLost(machine, freezeMillis);
             }
+            case FULL_DISK -> refuse(machine, Set.of(Operation.CREATE, Operation.WRITE));
+            case FAILING_SYNCS -> refuse(machine, Set.of(Operation.SYNC, Operation.SYNC_FOLDER));
             case RESTART -> restart(machine, pauseMillis);
             case RESTART_ALL ->
                     mMachines.stream()
@@ -173,6 +181,19 @@
         markLost(machine, pauseMillis);
     }
 
+    private void refuse(Machine machine, Set<Operation> refused) {
+        long pauseMillis = 1 + mRandom.nextInt(MAXIMUM_FREEZE_MILLIS);
+        MemoryDisk disk = machine.mMember.mDisk;
+        disk.setFaultHook(
+                operation -> {
+                    if (refused.contains(operation)) {
+                        throw new IOException("refused: " + operation);
+                    }
+                });
+        mCluster.schedule(pauseMillis, () -> disk.setFaultHook(operation -> {}));
+        markLost(machine, pauseMillis);
+    }
+
     private static void stopForGood(SimulatedMember member) {
         member.mRunning = false;
         member.mIncarnation++;
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -47,9 +47,10 @@
  *
  * <p>Connects the state machine of the consensus module to the control thread, a storage thread and
  * the connections to the other members. While the disk refuses writes, it acknowledges nothing that
- * is not written, and commits only what the other members have on disk. After a failed sync, or
- * after a fault that may have left its state inconsistent, it handles no requests until the process
- * is restarted.
+ * is not written, and commits only what the other members have on disk; the same holds after a
+ * failed sync. It says nothing to the others until what it read at the start is known to be
+ * durable. After the loss of synced content, or after a fault that may have left its state
+ * inconsistent, it handles no requests until the process is restarted.
  */
 public final class ReplicatedLog implements Log {
     private static final int SEGMENT_BYTES = 8 << 20;
@@ -71,6 +72,7 @@
     private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
     private Set<CompletableFuture<byte[]>> mOpenAtLastRefusal = Set.of();
     private Optional<IbisstandException> mFailure = Optional.empty();
+    private boolean mIsDurable;
     private long mAppliedIndex;
     private Optional<MembershipChange> mPendingVoterChange = Optional.empty();
     private Optional<MembershipChange> mRefusedVoterChange = Optional.empty();
@@ -94,7 +96,7 @@
         mStorage =
                 new StorageThread(
                         opened.store(),
-                        sequence -> runOnControlThread(() -> step(new Input.Persisted(sequence))),
+                        sequence -> runOnControlThread(() -> persisted(sequence)),
                         refusal -> runOnControlThread(() -> failOverdueProposals(refusal)),
                         failure -> runOnControlThread(() -> fail(failure)));
         mConnections =
@@ -110,6 +112,7 @@
                 context.controlThread()
                         .scheduleWithFixedDelay(
                                 this::tick, 0, tickMilliseconds, TimeUnit.MILLISECONDS);
+        mStorage.start();
     }
 
     /**
@@ -137,8 +140,9 @@
 
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
-        if (mFailure.isPresent()) {
-            return CompletableFuture.failedFuture(mFailure.get());
+        Optional<IbisstandException> refusal = refusal();
+        if (refusal.isPresent()) {
+            return CompletableFuture.failedFuture(refusal.get());
         }
         if (mStorage.isRefused() && !othersCommit()) {
             return CompletableFuture.failedFuture(
@@ -180,9 +184,9 @@
 
     @Override
     public CompletableFuture<Void> confirmRead() {
-        return mFailure.isPresent()
-                ? CompletableFuture.failedFuture(mFailure.get())
-                : mBatcher.confirmRead();
+        return refusal()
+                .<CompletableFuture<Void>>map(CompletableFuture::failedFuture)
+                .orElseGet(mBatcher::confirmRead);
     }
 
     @Override
@@ -198,8 +202,9 @@
 
     @Override
     public CompletableFuture<Void> addMember(LogMember member) {
-        if (mFailure.isPresent()) {
-            return CompletableFuture.failedFuture(mFailure.get());
+        Optional<IbisstandException> refusal = refusal();
+        if (refusal.isPresent()) {
+            return CompletableFuture.failedFuture(refusal.get());
         }
         CompletableFuture<Void> done = mDiscovery.addMember(member, now());
         mDiscovery.tickAdditions(mConsensus.status(), now(), this::changeMembership);
@@ -208,6 +213,10 @@
 
     @Override
     public CompletableFuture<Void> removeMember(String name) {
+        Optional<IbisstandException> refusal = refusal();
+        if (refusal.isPresent()) {
+            return CompletableFuture.failedFuture(refusal.get());
+        }
         List<MemberIdentifier> matches =
                 mMembership.members().keySet().stream()
                         .filter(member -> member.value().equals(name) || member.name().equals(name))
@@ -225,7 +234,7 @@
 
     @Override
     public void received(WireConnection connection, ConsensusEnvelope envelope) {
-        if (mFailure.isPresent() || envelope.getMember().isEmpty()) {
+        if (refusal().isPresent() || envelope.getMember().isEmpty()) {
             return;
         }
         MemberIdentifier from = new MemberIdentifier(envelope.getMember());
@@ -260,7 +269,26 @@
         }
     }
 
+    /** Returns why no request is handled now, if none is. */
+    private Optional<IbisstandException> refusal() {
+        if (mFailure.isEmpty() && !mIsDurable) {
+            return Optional.of(
+                    new IbisstandException(
+                            ErrorCode.NO_QUORUM,
+                            "this member waits for its disk before it takes part"));
+        }
+        return mFailure;
+    }
+
+    private void persisted(long sequence) {
+        mIsDurable = true;
+        step(new Input.Persisted(sequence));
+    }
+
     private void tick() {
+        if (refusal().isPresent()) {
+            return;
+        }
         step(new Input.Tick());
         if (mFailure.isEmpty()) {
             MemberStatus status = mConsensus.status();
--- a/control/src/main/java/org/ibisstand/control/StorageThread.java
+++ b/control/src/main/java/org/ibisstand/control/StorageThread.java
@@ -10,6 +10,7 @@
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.consensus.LogWriter;
 import org.ibisstand.consensus.Output;
 import org.ibisstand.storage.LogStore;
 
@@ -19,7 +20,8 @@
  * commands.
  *
  * <p>A write that the disk refuses is repeated until it succeeds; the writes behind it wait, and
- * nothing that depends on them is reported as durable.
+ * nothing that depends on them is reported as durable. After a failed sync the store reads its
+ * files again, and all writes that were not reported as durable are repeated.
  */
 final class StorageThread implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 5;
@@ -27,27 +29,32 @@
     /** Short against the seconds that an operator takes to free space. */
     private static final long REPEAT_INTERVAL_MILLISECONDS = 100;
 
-    private final LogStore mStore;
+    /** Longer, since all files are read again. */
+    private static final long REOPEN_INTERVAL_MILLISECONDS = 500;
+
+    private static final long NOTHING_PERSISTED = -1;
+
+    private final LogWriter mWriter;
     private final LongConsumer mOnPersisted;
     private final Consumer<IbisstandException> mOnFailure;
     private final Consumer<IbisstandException> mOnRefusal;
-    private final Queue<Output.Persist> mPendingWrites = new ConcurrentLinkedQueue<>();
+    private final Queue<Output.Persist> mNewWrites = new ConcurrentLinkedQueue<>();
     private final ScheduledExecutorService mThread =
             new LoggingScheduler("control-storage", LogLine::write);
-    private boolean mHasUnsyncedRecords;
-    private long mWrittenSequence;
-    private long mPersistedSequence;
+    private boolean mHasFailed;
+    private long mPersistedSequence = NOTHING_PERSISTED;
     private int mRefusals;
     private volatile boolean mIsRefused;
 
     /**
-     * Starts the thread.
+     * Creates the thread; nothing is written before {@link #start}.
      *
      * @param store the store, which only this thread may use from now on
      * @param onPersisted called on the storage thread with the sequence up to which all outputs are
+     *     durable; first with zero, once everything that the store held when it was opened is
      *     durable
-     * @param onRefusal called on the storage thread each time the disk refuses a write
-     * @param onFailure called on the storage thread with the first failed sync, after which nothing
+     * @param onRefusal called on the storage thread each time the disk refuses a write or a sync
+     * @param onFailure called on the storage thread if synced content is lost, after which nothing
      *     is written
      */
     StorageThread(
@@ -55,19 +62,23 @@
             LongConsumer onPersisted,
             Consumer<IbisstandException> onRefusal,
             Consumer<IbisstandException> onFailure) {
-        mStore = store;
+        mWriter = new LogWriter(store);
         mOnPersisted = onPersisted;
         mOnRefusal = onRefusal;
         mOnFailure = onFailure;
     }
 
-    /** Returns whether the disk refused the last write. */
+    void start() {
+        mThread.execute(this::writePending);
+    }
+
+    /** Returns whether the disk refused the last write or sync. */
     boolean isRefused() {
         return mIsRefused;
     }
 
     void write(Output.Persist persist) {
-        mPendingWrites.add(persist);
+        mNewWrites.add(persist);
         mThread.execute(this::writePending);
     }
 
@@ -79,11 +90,11 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        mStore.close();
+        mWriter.close();
     }
 
     private void writePending() {
-        if (mRefusals == 0) {
+        if (mRefusals == 0 && !mHasFailed) {
             writeAll();
         }
     }
@@ -96,10 +107,15 @@
             return;
         }
         switch (attempt.exceptionNow()) {
-            case IbisstandException e when e.code() == ErrorCode.STORAGE_REFUSED -> refused(e);
-            case IbisstandException e -> mOnFailure.accept(e);
+            case IbisstandException e when e.code() == ErrorCode.STORAGE_DAMAGED -> {
+                mHasFailed = true;
+                mOnFailure.accept(e);
+            }
+            case IbisstandException e -> refused(e);
             case Throwable unexpected -> {
-                LogLine.error("storage_task_failed").cause(unexpected).write();
+                if (Integer.bitCount(mRefusals + 1) == 1) {
+                    LogLine.error("storage_task_failed").cause(unexpected).write();
+                }
                 refused(
                         new IbisstandException(
                                 ErrorCode.INTERNAL, String.valueOf(unexpected), unexpected));
@@ -108,19 +124,12 @@
     }
 
     private void writeAndSync() {
-        for (int remaining = mPendingWrites.size(); remaining > 0; remaining--) {
-            Output.Persist next = mPendingWrites.element();
-            next.writeTo(mStore);
-            mHasUnsyncedRecords |= !next.records().isEmpty();
-            mWrittenSequence = next.sequence();
-            mPendingWrites.remove();
-        }
-        if (mHasUnsyncedRecords) {
-            mStore.sync();
-            mHasUnsyncedRecords = false;
+        for (int remaining = mNewWrites.size(); remaining > 0; remaining--) {
+            mWriter.add(mNewWrites.remove());
         }
-        if (mWrittenSequence > mPersistedSequence) {
-            mPersistedSequence = mWrittenSequence;
+        if (mWriter.size() > 0 || mPersistedSequence == NOTHING_PERSISTED) {
+            mWriter.write();
+            mPersistedSequence = mWriter.sync();
             mOnPersisted.accept(mPersistedSequence);
         }
     }
@@ -140,11 +149,16 @@
             LogLine.warning("storage_refused")
                     .code(refusal.code())
                     .with("reason", refusal.getMessage())
-                    .with("pending_writes", mPendingWrites.size())
+                    .with("pending_writes", mWriter.size())
                     .write();
         }
         if (!mThread.isShutdown()) {
-            mThread.schedule(this::writeAll, REPEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+            mThread.schedule(
+                    this::writeAll,
+                    mWriter.needsReopen()
+                            ? REOPEN_INTERVAL_MILLISECONDS
+                            : REPEAT_INTERVAL_MILLISECONDS,
+                    TimeUnit.MILLISECONDS);
         }
         mOnRefusal.accept(refusal);
     }
--- a/storage/src/main/java/org/ibisstand/storage/LogRecovery.java
+++ b/storage/src/main/java/org/ibisstand/storage/LogRecovery.java
@@ -6,11 +6,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.random.RandomGenerator;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
 
-/** Recovers a data folder: reads all files, truncates a torn tail and rejects corrupt files. */
+/** Reads a data folder without changing it, leaves out a torn tail and rejects corrupt files. */
 final class LogRecovery {
     private final Disk mDisk;
     private final Deque<Segment> mSegments = new ArrayDeque<>();
@@ -20,33 +21,45 @@
         mDisk = disk;
     }
 
-    OpenedLog open(int segmentBytes, RandomGenerator identityGenerator) throws IOException {
-        deleteTemporaryFiles();
-        Metadata metadata = openMetadata(identityGenerator);
+    /**
+     * Reads all files.
+     *
+     * @param newIdentity the identity if the folder is empty
+     */
+    StoredFiles read(LongSupplier newIdentity) throws IOException {
+        try {
+            return readAll(newIdentity);
+        } catch (IOException | IbisstandException e) {
+            mSegments.forEach(Segment::close);
+            throw e;
+        }
+    }
+
+    private StoredFiles readAll(LongSupplier newIdentity) throws IOException {
+        Metadata metadata = readMetadata(newIdentity);
         Optional<StoredSnapshot> snapshot = SnapshotFile.load(mDisk);
         readSegments();
         long snapshotIndex = snapshot.map(StoredSnapshot::index).orElse(0L);
-        if (snapshot.isPresent() && !logMatchesSnapshot(snapshot.get())) {
-            resetLogAfter(snapshotIndex);
+        boolean isReset = mSegments.isEmpty() || !snapshot.map(this::matchesLog).orElse(true);
+        if (!isReset && mSegments.getFirst().firstIndex() > snapshotIndex + 1) {
+            throw corruptLog("log records are missing after index " + snapshotIndex);
         }
-        ensureFirstSegment(snapshotIndex);
         List<LogRecord> laterRecords =
-                mRecords.stream().filter(record -> record.index() > snapshotIndex).toList();
+                mRecords.stream()
+                        .filter(record -> !isReset && record.index() > snapshotIndex)
+                        .toList();
         Recovered recovered =
                 new Recovered(metadata.identity(), metadata.termAndVote(), snapshot, laterRecords);
-        return new OpenedLog(new LogStore(mDisk, segmentBytes, recovered, mSegments), recovered);
-    }
-
-    private void deleteTemporaryFiles() throws IOException {
-        for (String name : mDisk.list()) {
-            if (ChecksummedFile.isTemporary(name)) {
-                mDisk.delete(name);
-            }
-        }
+        return new StoredFiles(
+                recovered,
+                mSegments,
+                isReset ? snapshotIndex : mSegments.getLast().syncedIndex(),
+                isReset ? OptionalLong.of(snapshotIndex) : OptionalLong.empty());
     }
 
-    private Metadata openMetadata(RandomGenerator identityGenerator) throws IOException {
-        List<String> names = mDisk.list();
+    private Metadata readMetadata(LongSupplier newIdentity) throws IOException {
+        List<String> names =
+                mDisk.list().stream().filter(name -> !ChecksummedFile.isTemporary(name)).toList();
         if (names.contains(Metadata.FILE_NAME)) {
             return Metadata.load(mDisk);
         }
@@ -54,28 +67,29 @@
             throw corruptLog(
                     "file " + Metadata.FILE_NAME + " is missing, but the folder contains " + names);
         }
-        Metadata metadata =
-                new Metadata(identityGenerator.nextLong(1, Long.MAX_VALUE), TermAndVote.NONE);
-        metadata.save(mDisk);
-        return metadata;
+        return new Metadata(newIdentity.getAsLong(), TermAndVote.NONE);
     }
 
     private void readSegments() throws IOException {
         List<String> names = Segment.listNames(mDisk);
         for (String name : names) {
             Segment segment = Segment.open(mDisk, name);
-            if (!mSegments.isEmpty()
-                    && segment.firstIndex() != mSegments.getLast().lastIndex() + 1) {
+            long expectedIndex = mSegments.isEmpty() ? segment.firstIndex() : nextIndex();
+            mSegments.addLast(segment);
+            if (segment.firstIndex() != expectedIndex) {
                 throw corruptLog("log records are missing before segment " + name);
             }
             mRecords.addAll(segment.recover(name.equals(names.getLast())));
-            mSegments.addLast(segment);
         }
     }
 
+    private long nextIndex() {
+        return mSegments.getLast().lastIndex() + 1;
+    }
+
     /** Returns whether the log reaches the snapshot and agrees with its term at that index. */
-    private boolean logMatchesSnapshot(StoredSnapshot snapshot) {
-        if (mSegments.isEmpty() || mSegments.getLast().lastIndex() < snapshot.index()) {
+    private boolean matchesLog(StoredSnapshot snapshot) {
+        if (mSegments.getLast().lastIndex() < snapshot.index()) {
             return false;
         }
         return mRecords.stream()
@@ -83,24 +97,6 @@
                 .allMatch(record -> record.term() == snapshot.term());
     }
 
-    private void resetLogAfter(long snapshotIndex) throws IOException {
-        while (!mSegments.isEmpty()) {
-            mSegments.removeLast().delete(mDisk);
-            mDisk.syncFolder();
-        }
-        mRecords.clear();
-        mSegments.addLast(Segment.create(mDisk, snapshotIndex + 1));
-    }
-
-    private void ensureFirstSegment(long snapshotIndex) throws IOException {
-        if (mSegments.isEmpty()) {
-            mSegments.addLast(Segment.create(mDisk, snapshotIndex + 1));
-        }
-        if (mSegments.getFirst().firstIndex() > snapshotIndex + 1) {
-            throw corruptLog("log records are missing after index " + snapshotIndex);
-        }
-    }
-
     private static IbisstandException corruptLog(String message) {
         return new IbisstandException(ErrorCode.STORAGE_DAMAGED, message);
     }
--- a/storage/src/main/java/org/ibisstand/storage/LogStore.java
+++ b/storage/src/main/java/org/ibisstand/storage/LogStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.base.IbisstandException;
@@ -12,34 +13,40 @@
 /**
  * The durable log of a consensus member, with its snapshot, term and vote.
  *
+ * <p>Opening the store only reads. The first operation after it makes durable what was read, since
+ * a process that was killed may have written it without a sync; until then nothing may be promised
+ * that rests on it.
+ *
  * <p>Appended records are durable only after {@link #sync}; all other changes are durable on
  * return. An operation that the disk refuses, for instance as it is full, may be repeated until it
  * succeeds: it has changed nothing that was synced, and repeats the part that it had done. After a
  * failed sync the store rejects all later operations, because the system may have dropped what it
- * could not write, and a second sync would succeed without it; the content of the disk is then
- * unknown until the store is reopened and reads all files again. Not safe for concurrent use.
+ * could not write, and a second sync would succeed without it. {@link #reopen} reads all files
+ * again; then all operations since the last successful {@link #sync} must be repeated. Not safe for
+ * concurrent use.
  */
 public final class LogStore implements AutoCloseable {
     private final Disk mDisk;
     private final int mSegmentBytes;
     private final long mIdentity;
-    private final Deque<Segment> mSegments;
+    private final Deque<Segment> mSegments = new ArrayDeque<>();
     private TermAndVote mTermAndVote;
+    private OptionalLong mResetIndex;
+    private long mSnapshotIndex;
     private long mSyncedIndex;
-    private boolean mAppendRefused;
+    private boolean mNeedsRepair;
+    private boolean mMayRepeat;
     private boolean mFailed;
 
-    LogStore(Disk disk, int segmentBytes, Recovered recovered, Deque<Segment> segments) {
+    private LogStore(Disk disk, int segmentBytes, StoredFiles files) {
         mDisk = disk;
         mSegmentBytes = segmentBytes;
-        mIdentity = recovered.identity();
-        mTermAndVote = recovered.termAndVote();
-        mSegments = new ArrayDeque<>(segments);
-        mSyncedIndex = lastIndex();
+        mIdentity = files.recovered().identity();
+        use(files);
     }
 
     /**
-     * Opens a data folder, or initializes an empty one with a new identity.
+     * Reads a data folder; an empty one gets a new identity.
      *
      * @param disk the data folder, closed with the store
      * @param segmentBytes the size in bytes at which a new segment is started
@@ -49,18 +56,50 @@
      */
     public static OpenedLog open(Disk disk, int segmentBytes, RandomGenerator identityGenerator) {
         try {
-            return new LogRecovery(disk).open(segmentBytes, identityGenerator);
+            StoredFiles files =
+                    new LogRecovery(disk).read(() -> identityGenerator.nextLong(1, Long.MAX_VALUE));
+            return new OpenedLog(new LogStore(disk, segmentBytes, files), files.recovered());
         } catch (IOException e) {
             throw new IbisstandException(ErrorCode.STORAGE_FAILED, "cannot open the log", e);
         }
     }
 
+    /**
+     * Reads all files again after a failed operation.
+     *
+     * @throws IbisstandException STORAGE_DAMAGED if synced content is lost or corrupt,
+     *     STORAGE_REFUSED if the files cannot be read now
+     */
+    public void reopen() {
+        mFailed = true;
+        closeSegments();
+        StoredFiles files;
+        try {
+            files = new LogRecovery(mDisk).read(() -> mIdentity);
+        } catch (IOException e) {
+            throw refused(e);
+        }
+        boolean isComplete =
+                files.recovered().identity() == mIdentity
+                        && files.recovered().termAndVote().term() >= mTermAndVote.term()
+                        && files.lastIndex() >= mSyncedIndex;
+        if (!isComplete) {
+            files.segments().forEach(Segment::close);
+            throw new IbisstandException(
+                    ErrorCode.STORAGE_DAMAGED,
+                    "synced content is gone: record " + mSyncedIndex + " or " + mTermAndVote);
+        }
+        use(files);
+        mMayRepeat = true;
+        mFailed = false;
+    }
+
     /** Returns the index of the last record, or of the snapshot if no record follows it. */
     public long lastIndex() {
-        return mSegments.getLast().lastIndex();
+        return mResetIndex.orElseGet(() -> mSegments.getLast().lastIndex());
     }
 
-    /** Returns the newest durable term and vote. */
+    /** Returns the newest term and vote, durable unless the store was only opened. */
     public TermAndVote termAndVote() {
         return mTermAndVote;
     }
@@ -73,8 +112,7 @@
      *     an earlier sync failed
      */
     public void saveTermAndVote(TermAndVote termAndVote) {
-        runDiskOperation(() -> new Metadata(mIdentity, termAndVote).save(mDisk));
-        mTermAndVote = termAndVote;
+        runDiskOperation(() -> replaceTermAndVote(termAndVote));
     }
 
     /**
@@ -108,6 +146,7 @@
      */
     public void sync() {
         runDiskOperation(this::syncNewestSegment);
+        mMayRepeat = false;
     }
 
     /**
@@ -120,30 +159,74 @@
      *     an earlier sync failed
      */
     public void saveSnapshot(StoredSnapshot snapshot, boolean logMatchesSnapshot) {
-        runDiskOperation(
-                () -> {
-                    syncNewestSegment();
-                    SnapshotFile.save(mDisk, snapshot);
-                    if (logMatchesSnapshot) {
-                        deleteCoveredSegments(snapshot.index());
-                    } else {
-                        resetLogAfter(snapshot.index());
-                    }
-                });
+        runDiskOperation(() -> replaceSnapshot(snapshot, logMatchesSnapshot));
     }
 
     @Override
     public void close() {
-        mSegments.forEach(Segment::close);
+        closeSegments();
         mDisk.close();
     }
 
+    private void use(StoredFiles files) {
+        mSegments.clear();
+        mSegments.addAll(files.segments());
+        mTermAndVote = files.recovered().termAndVote();
+        mResetIndex = files.resetIndex();
+        mSnapshotIndex = files.recovered().snapshot().map(StoredSnapshot::index).orElse(0L);
+        mSyncedIndex = files.syncedIndex();
+        mNeedsRepair = true;
+    }
+
+    /** Makes durable what was read. Writes it again, since a failed sync may have dropped it. */
+    private void repair() throws IOException {
+        for (String name : mDisk.list()) {
+            if (ChecksummedFile.isTemporary(name)) {
+                mDisk.delete(name);
+            }
+        }
+        new Metadata(mIdentity, mTermAndVote).save(mDisk);
+        resetIfDue();
+        mSegments.getLast().rewriteUnsynced();
+        syncNewestSegment();
+        mNeedsRepair = false;
+    }
+
+    private void replaceTermAndVote(TermAndVote termAndVote) throws IOException {
+        if (termAndVote.term() < mTermAndVote.term()) {
+            return; // repeated, and a newer one was saved before
+        }
+        new Metadata(mIdentity, termAndVote).save(mDisk);
+        mTermAndVote = termAndVote;
+    }
+
+    private void replaceSnapshot(StoredSnapshot snapshot, boolean logMatchesSnapshot)
+            throws IOException {
+        if (snapshot.index() < mSnapshotIndex) {
+            return; // repeated, and a newer one was saved before
+        }
+        if (logMatchesSnapshot) {
+            syncNewestSegment();
+        } else {
+            mSyncedIndex = Math.min(mSyncedIndex, snapshot.index());
+        }
+        SnapshotFile.save(mDisk, snapshot);
+        mSnapshotIndex = snapshot.index();
+        if (logMatchesSnapshot) {
+            deleteCoveredSegments(snapshot.index());
+        } else {
+            mResetIndex = OptionalLong.of(snapshot.index());
+            resetIfDue();
+        }
+    }
+
     private void appendRecords(List<LogRecord> records) throws IOException {
-        boolean isRepeated = mAppendRefused;
-        mAppendRefused = true;
         for (LogRecord record : records) {
-            if (isRepeated && record.index() <= lastIndex()) {
-                continue;
+            if (record.index() <= lastIndex() && mMayRepeat) {
+                if (isStored(record)) {
+                    continue;
+                }
+                truncateSegments(record.index());
             }
             if (record.index() != lastIndex() + 1) {
                 throw new IllegalArgumentException(
@@ -155,23 +238,29 @@
             }
             mSegments.getLast().append(new RecordFrame(record, mSyncedIndex));
         }
-        mAppendRefused = false;
+    }
+
+    /** Returns whether the log holds the record, or a snapshot that covers it. */
+    private boolean isStored(LogRecord record) {
+        return mSegments.stream()
+                .filter(segment -> segment.firstIndex() <= record.index())
+                .reduce((earlier, later) -> later)
+                .map(segment -> segment.termAt(record.index()) == record.term())
+                .orElse(true);
     }
 
     private void truncateSegments(long index) throws IOException {
+        mSyncedIndex = Math.min(mSyncedIndex, index - 1);
         while (mSegments.size() > 1 && mSegments.getLast().firstIndex() >= index) {
             deleteLastSegment();
         }
-        if (index <= lastIndex()) {
-            mSegments.getLast().truncateFrom(index);
+        long first = Math.max(index, mSegments.getLast().firstIndex());
+        if (first <= lastIndex()) {
+            mSegments.getLast().truncateFrom(first);
         }
-        mSyncedIndex = Math.min(mSyncedIndex, lastIndex());
     }
 
     private void syncNewestSegment() throws IOException {
-        if (mSegments.isEmpty()) {
-            return; // a reset was refused after it had deleted all segments
-        }
         mSegments.getLast().sync();
         mSyncedIndex = lastIndex();
         mSegments.getLast().writeSyncMarker(mSyncedIndex);
@@ -191,12 +280,18 @@
         }
     }
 
-    private void resetLogAfter(long snapshotIndex) throws IOException {
+    /** Deletes a log that does not match the snapshot. */
+    private void resetIfDue() throws IOException {
+        if (mResetIndex.isEmpty()) {
+            return;
+        }
+        long index = mResetIndex.getAsLong();
         while (!mSegments.isEmpty()) {
             deleteLastSegment();
         }
-        mSegments.addLast(Segment.create(mDisk, snapshotIndex + 1));
-        mSyncedIndex = snapshotIndex;
+        mSegments.addLast(Segment.create(mDisk, index + 1));
+        mSyncedIndex = index;
+        mResetIndex = OptionalLong.empty();
     }
 
     private void deleteLastSegment() throws IOException {
@@ -205,6 +300,12 @@
         mDisk.syncFolder();
     }
 
+    private void closeSegments() {
+        while (!mSegments.isEmpty()) {
+            mSegments.removeLast().close();
+        }
+    }
+
     private void runDiskOperation(DiskOperation operation) {
         if (mFailed) {
             throw new IbisstandException(
@@ -212,17 +313,25 @@
                     "log store is unusable because an earlier sync failed");
         }
         try {
+            if (mNeedsRepair) {
+                repair();
+            }
             operation.run();
         } catch (SyncFailedException e) {
             mFailed = true;
             throw new IbisstandException(
                     ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()), e);
         } catch (IOException e) {
-            throw new IbisstandException(
-                    ErrorCode.STORAGE_REFUSED, String.valueOf(e.getMessage()), e);
+            mMayRepeat = true;
+            throw refused(e);
         }
     }
 
+    private static IbisstandException refused(IOException cause) {
+        return new IbisstandException(
+                ErrorCode.STORAGE_REFUSED, String.valueOf(cause.getMessage()), cause);
+    }
+
     /** An operation that may fail with a disk error. */
     private interface DiskOperation {
         void run() throws IOException;
--- a/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
+++ b/storage/src/main/java/org/ibisstand/storage/MemoryDisk.java
@@ -6,12 +6,15 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 /**
  * An in-memory disk for tests. Simulates a crash that loses all or part of the unsynced changes, a
- * full disk and failing syncs.
+ * full disk and failing syncs. As in Linux, a failed sync may lose what was to be written: reads
+ * still return it, and a later sync succeeds without it.
  */
 public final class MemoryDisk implements Disk {
     private final Map<String, FileContent> mFiles = new TreeMap<>();
@@ -20,9 +23,21 @@
     private volatile boolean mSyncFails;
     private volatile FaultHook mFaultHook = operation -> {};
     private int mSyncCount;
+    private final RandomGenerator mLosses;
 
     /** Creates an empty disk with unlimited capacity. */
-    public MemoryDisk() {}
+    public MemoryDisk() {
+        this(new Random(1));
+    }
+
+    /**
+     * Creates an empty disk with unlimited capacity.
+     *
+     * @param losses selects what failed syncs lose
+     */
+    public MemoryDisk(RandomGenerator losses) {
+        mLosses = losses;
+    }
 
     /**
      * Limits the total size of all files; of a write that exceeds it, only the part that fits is
@@ -180,46 +195,74 @@
         void before(Operation operation) throws IOException;
     }
 
-    /** A write that has not been synced. */
-    private record UnsyncedWrite(int position, byte[] bytes) {}
+    /**
+     * A change that has not been synced.
+     *
+     * @param position the offset of the bytes, or the new size of the file
+     * @param bytes what was written; empty if the file was truncated
+     */
+    private record UnsyncedChange(int position, Optional<byte[]> bytes) {
+        byte[] applyTo(byte[] old, int length) {
+            if (bytes.isEmpty()) {
+                return Arrays.copyOf(old, position);
+            }
+            byte[] changed = Arrays.copyOf(old, Math.max(old.length, position + length));
+            System.arraycopy(bytes.get(), 0, changed, position, length);
+            return changed;
+        }
+
+        int length() {
+            return bytes.map(written -> written.length).orElse(0);
+        }
+    }
 
     /** The current content of a file and the part that is certain to survive a crash. */
     private static final class FileContent {
         private byte[] mBytes = new byte[0];
         private byte[] mDurableBytes = new byte[0];
-        private final List<UnsyncedWrite> mUnsyncedWrites = new ArrayList<>();
+        private final List<UnsyncedChange> mUnsynced = new ArrayList<>();
+
+        void add(UnsyncedChange change) {
+            mBytes = change.applyTo(mBytes, change.length());
+            mUnsynced.add(change);
+        }
+
+        void sync() {
+            for (UnsyncedChange change : mUnsynced) {
+                mDurableBytes = change.applyTo(mDurableBytes, change.length());
+            }
+            mUnsynced.clear();
+        }
 
-        void addWrite(UnsyncedWrite write) {
-            mBytes = applyWrite(mBytes, write, write.bytes().length);
-            mUnsyncedWrites.add(write);
+        /** Writes a part of the changes. Truncations are kept, as they change no pages. */
+        void failSync(RandomGenerator random) {
+            applyPart(random);
+            mUnsynced.removeIf(change -> change.bytes().isPresent());
         }
 
         void crash(RandomGenerator random) {
-            byte[] survived = mDurableBytes;
-            for (UnsyncedWrite write : mUnsyncedWrites) {
-                int length = survivingBytes(write, random);
-                survived = length == 0 ? survived : applyWrite(survived, write, length);
+            applyPart(random);
+            mUnsynced.clear();
+            mBytes = mDurableBytes.clone();
+        }
+
+        private void applyPart(RandomGenerator random) {
+            for (UnsyncedChange change : mUnsynced) {
+                int length = survivingBytes(change, random);
+                if (length > 0 || (change.bytes().isEmpty() && random.nextBoolean())) {
+                    mDurableBytes = change.applyTo(mDurableBytes, length);
+                }
             }
-            mUnsyncedWrites.clear();
-            mBytes = survived.clone();
-            mDurableBytes = survived;
         }
 
-        private static int survivingBytes(UnsyncedWrite write, RandomGenerator random) {
-            int length = write.bytes().length;
+        private static int survivingBytes(UnsyncedChange change, RandomGenerator random) {
+            int length = change.length();
             return switch (random.nextInt(3)) {
                 case 0 -> 0;
                 case 1 -> length;
                 default -> random.nextInt(length + 1);
             };
         }
-
-        private static byte[] applyWrite(byte[] old, UnsyncedWrite write, int length) {
-            int end = write.position() + length;
-            byte[] bytes = Arrays.copyOf(old, Math.max(old.length, end));
-            System.arraycopy(write.bytes(), 0, bytes, write.position(), length);
-            return bytes;
-        }
     }
 
     /** An open file of this disk. */
@@ -242,7 +285,7 @@
             int length = Math.toIntExact(Math.max(0, end - position));
             if (length > 0) {
                 byte[] written = Arrays.copyOf(bytes, length);
-                mContent.addWrite(new UnsyncedWrite(Math.toIntExact(position), written));
+                mContent.add(new UnsyncedChange(Math.toIntExact(position), Optional.of(written)));
             }
             if (length < bytes.length) {
                 throw new IOException("no space left on the disk");
@@ -252,14 +295,18 @@
         @Override
         public void truncate(long size) throws IOException {
             mFaultHook.before(Operation.TRUNCATE);
-            mContent.mBytes = Arrays.copyOf(mContent.mBytes, Math.toIntExact(size));
+            mContent.add(new UnsyncedChange(Math.toIntExact(size), Optional.empty()));
         }
 
         @Override
         public void sync() throws SyncFailedException {
-            performSync(Operation.SYNC);
-            mContent.mDurableBytes = mContent.mBytes.clone();
-            mContent.mUnsyncedWrites.clear();
+            try {
+                performSync(Operation.SYNC);
+            } catch (SyncFailedException e) {
+                mContent.failSync(mLosses);
+                throw e;
+            }
+            mContent.sync();
         }
 
         @Override
--- a/storage/src/main/java/org/ibisstand/storage/Segment.java
+++ b/storage/src/main/java/org/ibisstand/storage/Segment.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.ibisstand.base.ErrorCode;
@@ -16,19 +17,28 @@
     private final long mFirstIndex;
     private final StorageFile mFile;
     private final List<Long> mRecordOffsets = new ArrayList<>();
+    private final List<Long> mRecordTerms = new ArrayList<>();
     private long mSize;
+    private long mSyncedIndex;
+    private byte[] mUnsyncedBytes = new byte[0];
 
     private Segment(String name, long firstIndex, StorageFile file) {
         mName = name;
         mFirstIndex = firstIndex;
         mFile = file;
+        mSyncedIndex = firstIndex - 1;
     }
 
     /** Creates an empty segment whose directory entry is durable on return. */
     static Segment create(Disk disk, long firstIndex) throws IOException {
         String name = NAME_PREFIX + formatIndex(firstIndex);
         StorageFile file = disk.open(name);
-        disk.syncFolder();
+        try {
+            disk.syncFolder();
+        } catch (IOException e) {
+            file.close();
+            throw e;
+        }
         return new Segment(name, firstIndex, file);
     }
 
@@ -57,6 +67,15 @@
         return mFirstIndex + mRecordOffsets.size() - 1;
     }
 
+    long termAt(long index) {
+        return mRecordTerms.get(Math.toIntExact(index - mFirstIndex));
+    }
+
+    /** Returns the last record that was known to be durable when the segment was read. */
+    long syncedIndex() {
+        return mSyncedIndex;
+    }
+
     long size() {
         return mSize;
     }
@@ -90,11 +109,21 @@
         int keptRecords = Math.toIntExact(index - mFirstIndex);
         truncateAndSync(mRecordOffsets.get(keptRecords));
         mRecordOffsets.subList(keptRecords, mRecordOffsets.size()).clear();
+        mRecordTerms.subList(keptRecords, mRecordTerms.size()).clear();
+    }
+
+    /** Writes again the records that were read but not known to be durable, and cuts the rest. */
+    void rewriteUnsynced() throws IOException {
+        if (mUnsyncedBytes.length > 0) {
+            mFile.write(mSize - mUnsyncedBytes.length, mUnsyncedBytes);
+        }
+        truncateAndSync(mSize);
+        mUnsyncedBytes = new byte[0];
     }
 
     void delete(Disk disk) throws IOException {
-        mFile.close();
         disk.delete(mName);
+        mFile.close();
     }
 
     void close() {
@@ -102,7 +131,7 @@
     }
 
     /**
-     * Reads all records. Truncates a torn tail of the newest segment; fails on other corruption.
+     * Reads all records. Leaves out a torn tail of the newest segment; fails on other corruption.
      *
      * @param isNewest whether this is the last segment of the log
      */
@@ -112,13 +141,14 @@
         Optional<RecordFrame> frame = decodeNext(content);
         while (frame.isPresent()) {
             records.add(frame.get().record());
+            mSyncedIndex = Math.max(mSyncedIndex, frame.get().syncedIndex());
             trackFrame(frame.get());
             frame = decodeNext(content);
         }
         if (mSize < content.length) {
             requireTornTail(content, isNewest);
-            truncateAndSync(mSize);
         }
+        findUnsynced(content, isNewest);
         return records;
     }
 
@@ -127,8 +157,25 @@
                 .filter(frame -> frame.record().index() == lastIndex() + 1);
     }
 
+    private void findUnsynced(byte[] content, boolean isNewest) {
+        int size = Math.toIntExact(mSize);
+        long confirmed =
+                isNewest
+                        ? RecordFrame.decode(content, size)
+                                .map(RecordFrame::syncedIndex)
+                                .orElse(mSyncedIndex)
+                        : lastIndex();
+        mSyncedIndex = Math.min(lastIndex(), Math.max(mSyncedIndex, confirmed));
+        int unsynced = Math.toIntExact(mSyncedIndex + 1 - mFirstIndex);
+        if (unsynced < mRecordOffsets.size()) {
+            int start = Math.toIntExact(mRecordOffsets.get(unsynced));
+            mUnsyncedBytes = Arrays.copyOfRange(content, start, size);
+        }
+    }
+
     private void trackFrame(RecordFrame frame) {
         mRecordOffsets.add(mSize);
+        mRecordTerms.add(frame.record().term());
         mSize += frame.size();
     }
 
--- a/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
+++ b/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
@@ -165,6 +165,70 @@
         assertErrorCode(ErrorCode.STORAGE_FAILED, () -> operation.accept(store));
     }
 
+    /** Reads return what a failed sync has lost, and a later sync succeeds without it. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void recordsOfAFailedSyncAreWrittenAgainAfterReopening(long seed) {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 2, 1));
+        store.sync();
+        store.append(records(3, 4, 1));
+        mDisk.setSyncFails(true);
+        assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
+        store.reopen();
+        assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
+        mDisk.setSyncFails(false);
+
+        store.reopen();
+        store.append(records(3, 5, 1));
+        store.sync();
+        mDisk.crash(new Random(seed));
+
+        assertThat(open(mDisk).recovered().records()).hasSize(5);
+    }
+
+    /** A process that is killed may leave records that were never synced; they can be read. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void recordsThatWereReadAreDurableAfterTheFirstSync(long seed) {
+        LogStore killed = open(mDisk).store();
+        killed.append(records(1, 12, 1));
+        OpenedLog opened = open(mDisk);
+        assertThat(opened.recovered().records()).hasSize(12);
+
+        opened.store().sync();
+        mDisk.crash(new Random(seed));
+
+        assertThat(open(mDisk).recovered().records()).hasSize(12);
+    }
+
+    @Test
+    void aFullDiskCanBeOpened() {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 3, 1));
+        mDisk.setCapacity(0);
+
+        OpenedLog opened = open(mDisk);
+        assertThat(opened.recovered().records()).hasSize(3);
+        assertErrorCode(ErrorCode.STORAGE_REFUSED, () -> opened.store().sync());
+        mDisk.setCapacity(Long.MAX_VALUE);
+        opened.store().sync();
+    }
+
+    @Test
+    void reopeningFailsIfASyncedRecordIsGone() throws Exception {
+        LogStore store = open(mDisk).store();
+        store.append(records(1, 3, 1));
+        store.sync();
+        mDisk.setSyncFails(true);
+        assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
+        mDisk.setSyncFails(false);
+        mDisk.delete(FIRST_SEGMENT);
+
+        assertErrorCode(ErrorCode.STORAGE_DAMAGED, store::reopen);
+        assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
+    }
+
     @Test
     void fullDiskFailsAppendAndKeepsSyncedRecords() {
         LogStore store = open(mDisk).store();
@@ -265,6 +329,7 @@
     @Test
     void syncsManyRecordsOnce() {
         LogStore store = LogStore.open(mDisk, 1 << 20, new Random(1)).store();
+        store.sync();
         int syncCountBefore = mDisk.syncCount();
         store.append(records(1, 500, 1));
         store.sync();
