Let the others commit before a change at a full leader counts as unknown

An operator's change was answered as OUTCOME_UNKNOWN 100 to 200 ms after the disk of the leader had refused a write, though the other members were about to commit it: proposals failed at the second refusal, which comes 100 ms after the first.

They fail now once they have waited for a whole election timeout. Within that the others commit, or the leader loses its majority and fails them anyway.

Evidence: aChangeThatTheOthersCommitSlowlyIsAcknowledgedThoughTheDiskOfTheLeader IsFull failed on the code before, and passes now.

--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -70,7 +70,8 @@
     private final ScheduledFuture<?> mTickTask;
     private Membership mMembership;
     private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
-    private Set<CompletableFuture<byte[]>> mOpenAtLastRefusal = Set.of();
+    private Set<CompletableFuture<byte[]>> mOpenAtLastCheck = Set.of();
+    private Instant mNextOverdueCheck = Instant.MIN;
     private Optional<IbisstandException> mFailure = Optional.empty();
     private boolean mIsDurable;
     private long mAppliedIndex;
@@ -166,15 +167,24 @@
                 && mBytesSinceSnapshot < MAXIMUM_BYTES_BETWEEN_SNAPSHOTS;
     }
 
-    /** Fails the proposals that were open already when the disk refused the same write before. */
+    /**
+     * Fails the proposals that have waited for a whole election timeout while the disk refused
+     * writes. The other members may commit them without this disk, but no later than that, or the
+     * leader loses its majority.
+     */
     private void failOverdueProposals(IbisstandException refusal) {
+        if (now().isBefore(mNextOverdueCheck)) {
+            return;
+        }
+        long timeout = mContext.settings().timing().electionTimeoutMilliseconds();
+        mNextOverdueCheck = now().plusMillis(timeout);
         IbisstandException failure =
                 new IbisstandException(
                         ErrorCode.OUTCOME_UNKNOWN,
                         "the disk of this member refuses writes: " + refusal.getMessage(),
                         refusal);
-        mOpenAtLastRefusal.forEach(proposal -> proposal.completeExceptionally(failure));
-        mOpenAtLastRefusal = Set.copyOf(mOpenProposals);
+        mOpenAtLastCheck.forEach(proposal -> proposal.completeExceptionally(failure));
+        mOpenAtLastCheck = Set.copyOf(mOpenProposals);
     }
 
     @Override
--- a/control/src/test/java/org/ibisstand/control/FullDisksTest.java
+++ b/control/src/test/java/org/ibisstand/control/FullDisksTest.java
@@ -26,6 +26,7 @@
     private static final int CHANGES_WHILE_FULL = 5;
     private static final int LARGE_COMMAND_BYTES = 1 << 20;
     private static final int TIMEOUT_SECONDS = 20;
+    private static final int SLOW_SYNC_MILLISECONDS = 600;
 
     @TempDir Path mFolder;
     private LogGroup mGroup;
@@ -112,6 +113,30 @@
         assertAllChangesAreCommitted();
     }
 
+    /** Such a change failed after 100 ms, though the others were about to commit it. */
+    @Test
+    void aChangeThatTheOthersCommitSlowlyIsAcknowledgedThoughTheDiskOfTheLeaderIsFull() {
+        mGroup = LogGroup.startInMemory(mFolder, 3, 3_000);
+        mGroup.propose("first");
+        LogGroup.Member leader = mGroup.leader();
+        for (String name : mGroup.names()) {
+            mGroup.disk(name).setFaultHook(FullDisksTest::delaySync);
+        }
+        setFault(leader.name(), Fault.WRITES_REFUSED, true);
+
+        assertThat(succeeds(leader.propose("second"))).isTrue();
+    }
+
+    private static void delaySync(MemoryDisk.Operation operation) {
+        if (operation == MemoryDisk.Operation.SYNC) {
+            CompletableFuture.runAsync(
+                            () -> {},
+                            CompletableFuture.delayedExecutor(
+                                    SLOW_SYNC_MILLISECONDS, TimeUnit.MILLISECONDS))
+                    .join();
+        }
+    }
+
     private boolean proposeLarge(LogGroup.Member leader) {
         mCommands++;
         String command = "x".repeat(LARGE_COMMAND_BYTES) + mCommands;
