Send no request to a server that asked for a pause with Retry-After

A server that turns a request away with 503 may add Retry-After, as it wants nothing for so long. Callers were told to come back after 0.1 to 0.4 s, however long the pause of all servers was.

The header of every 503 that belongs to the server is read in the same place as the sign that it leaves, for requests and for moves of runs. Until the end of the pause, and up to 250 ms more that differ between gateways, the server gets nothing from this gateway: it is no choice for requests, repeats and moves, no run is moved from it, and a run that it stopped is not resumed there. Then one request at a time is a trial, until a response without a pause has come. If all servers of a service pause, callers get 503 at once, with a Retry-After no earlier than the return of the first. Seconds may have fractions, more than an hour counts as an hour, and what is no positive number is logged and ignored. A pause is no failure of the server and ends with its incarnation.

The calls of an agent to its own engine do not heed a pause yet.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -63,6 +63,11 @@
     void send(FullHttpRequest request, String identifier, boolean isRetryable, boolean isRepeated) {
         mSentAt = mGateway.now();
         mServer.attemptSent(this, promptTokens(), mSentAt);
+        if (mServer.isPaused(mSentAt)) {
+            request.release();
+            mGateway.loop().execute(this::onServerPaused);
+            return;
+        }
         mExchange =
                 Optional.of(
                         mGateway.backendClient()
@@ -210,6 +215,13 @@
         }
     }
 
+    /** Handles a server that asked for no requests since it was chosen, such as for a run. */
+    private void onServerPaused() {
+        if (mForwarder.isCurrent(this)) {
+            mForwarder.connectFailed(this, "server_pauses");
+        }
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         if (!mForwarder.isCurrent(this)) {
@@ -329,7 +341,9 @@
     private void finishBuffered(HttpResponse head) {
         int status = head.status().code();
         boolean isServerFailure = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-        if (isServerFailure) {
+        if (isServerFailure && mServer.isPaused(mGateway.now())) {
+            mServer.recordRefusal(mGateway.now());
+        } else if (isServerFailure) {
             mServer.recordFailureResponse();
         } else {
             mServer.recordSuccess();
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendConnection.java
@@ -251,6 +251,23 @@
         if (head.headers().contains(mHeaderNames.leaving(), IS_LEAVING, false)) {
             mServer.recordLeaving(mClock.millis());
         }
+        switch (RequestedPause.of(head)) {
+            case RequestedPause.Pause pause ->
+                    mServer.recordPause(pause.milliseconds(), mClock.millis());
+            case RequestedPause.Unreadable unreadable -> {
+                logUnreadablePause(unreadable.text());
+                mServer.recordNoPause(mClock.millis());
+            }
+            case RequestedPause.None none -> mServer.recordNoPause(mClock.millis());
+        }
+    }
+
+    private void logUnreadablePause(String text) {
+        LogLine.info("pause_unreadable")
+                .request(mExchange.requestIdentifier())
+                .with("server", mServer.name())
+                .with("text", text)
+                .write();
     }
 
     private void skip(ResponseOwner.OtherRequest other, HttpResponse head) {
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.settings.RoutedService;
@@ -26,6 +27,7 @@
     /** More than there are servers, and those delisted while late records may still arrive. */
     private static final int MAXIMUM_INCARNATIONS = 4_096;
 
+    private final RandomGenerator mRandom;
     private final Map<String, BackendServer> mServersByName = new HashMap<>();
 
     /** Kept after a server is delisted, as a late record may list the same incarnation again. */
@@ -41,6 +43,10 @@
     private int mGatewayCount = 1;
     private final Map<String, List<BackendServer>> mServersByService = new HashMap<>();
 
+    BackendDirectory(RandomGenerator random) {
+        mRandom = random;
+    }
+
     /** One start of a server. */
     private record Incarnation(String server, String address, long bornMilliseconds) {
         static Incarnation of(ServerRecord record) {
@@ -92,17 +98,29 @@
     }
 
     /**
-     * Returns the servers of a service that accept requests and have fewer in flight than this
-     * gateway's share of the connections, without the excluded ones.
+     * Returns the servers of a service that accept requests, want one now and have fewer in flight
+     * than this gateway's share of the connections, without the excluded ones.
      */
-    List<BackendServer> available(RoutedService service, Set<BackendServer> excluded) {
+    List<BackendServer> available(RoutedService service, Set<BackendServer> excluded, long now) {
         int share = Math.max(MINIMUM_CONNECTIONS, service.maximumConnections() / mGatewayCount);
         return mServersByService.getOrDefault(service.name(), List.of()).stream()
                 .filter(server -> server.acceptsRequests() && !excluded.contains(server))
-                .filter(server -> server.inFlight() < share)
+                .filter(server -> server.inFlight() < share && server.wantsRequest(now))
                 .toList();
     }
 
+    /**
+     * Returns for how long no server of a service wants requests; zero if one wants some, or none
+     * accepts any.
+     */
+    long pauseMilliseconds(RoutedService service, long now) {
+        return mServersByService.getOrDefault(service.name(), List.of()).stream()
+                .filter(BackendServer::acceptsRequests)
+                .mapToLong(server -> server.pauseMilliseconds(now))
+                .min()
+                .orElse(0);
+    }
+
     /** Returns the addresses where agents reply to cache lookups. */
     Set<String> agentAddresses(long now) {
         return mServersByName.values().stream()
@@ -153,7 +171,7 @@
         }
         StatedAvailability availability =
                 mAvailability.computeIfAbsent(
-                        Incarnation.of(record), incarnation -> new StatedAvailability());
+                        Incarnation.of(record), incarnation -> new StatedAvailability(mRandom));
         BackendServer server = new BackendServer(record, availability);
         mServersByName.put(record.getServer(), server);
         logChanged("server_listed", server);
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -69,11 +69,12 @@
     private long mLeavingSince = Long.MAX_VALUE;
     private boolean mRemoved;
 
-    BackendServer(ServerRecord record) {
-        this(record, new StatedAvailability());
-    }
-
-    /** Creates a server whose incarnation may have been listed before. */
+    /**
+     * Creates a server.
+     *
+     * @param record the record of the server
+     * @param availability what the incarnation said, which may have been listed before
+     */
     BackendServer(ServerRecord record, StatedAvailability availability) {
         mRecord = record;
         mAvailability = availability;
@@ -136,6 +137,36 @@
         closeIdleConnections();
     }
 
+    /** Sends no requests here for a while, as the server asked in a response. */
+    void recordPause(long milliseconds, long now) {
+        mAvailability.recordPause(milliseconds, now);
+        LogLine.info("server_pauses")
+                .with("server", name())
+                .with("milliseconds", milliseconds)
+                .with("in_flight", inFlight())
+                .write();
+    }
+
+    /** Records a response that asks for no pause. */
+    void recordNoPause(long now) {
+        mAvailability.recordNoPause(now);
+    }
+
+    /** Returns whether the server asked for no requests until later. */
+    boolean isPaused(long now) {
+        return mAvailability.isPaused(now);
+    }
+
+    /** Returns whether the server did not ask for a pause, or its end may be tried. */
+    boolean wantsRequest(long now) {
+        return mAvailability.wantsRequest(now);
+    }
+
+    /** Returns for how long the server wants no requests; zero if it wants some. */
+    long pauseMilliseconds(long now) {
+        return mAvailability.pauseMilliseconds(now);
+    }
+
     void closeIdleConnections() {
         while (!mIdleConnections.isEmpty()) {
             mIdleConnections.poll().close();
@@ -160,6 +191,7 @@
             mLastReceivedAt = now;
         }
         mAttempts.add(attempt);
+        mAvailability.attemptSent(attempt, now);
         mPendingTokens += tokens;
         mSentSinceLoadReport++;
     }
@@ -170,6 +202,7 @@
 
     void attemptEnded(Attempt attempt) {
         mAttempts.remove(attempt);
+        mAvailability.attemptEnded(attempt);
     }
 
     Set<Attempt> attempts() {
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ibisstand.fleet.FleetState;
+import org.ibisstand.settings.RoutedService;
 import org.ibisstand.wire.WireContext;
 import org.ibisstand.wire.message.EngineNotices;
 
@@ -33,7 +34,7 @@
     private final EventLoop mLoop;
     private final Clock mClock;
     private final RandomGenerator mRandom;
-    private final BackendDirectory mDirectory = new BackendDirectory();
+    private final BackendDirectory mDirectory;
     private final BackendClient mBackendClient;
     private final AgentCacheLookup mCacheLookup;
     private final ServerPlacement mServerPlacement;
@@ -73,6 +74,7 @@
         mLoop = loop;
         mClock = clock;
         mRandom = random;
+        mDirectory = new BackendDirectory(random);
         mBackendClient = new BackendClient(loop, headerNames, clock);
         mCacheLookup = new AgentCacheLookup(wire);
         ServerSelector selector = new ServerSelector(random);
@@ -170,8 +172,19 @@
 
     /** Counts a refusal of a stop, and returns the value of its Retry-After header. */
     String retryAfter() {
+        return retryAfter(Optional.empty());
+    }
+
+    /**
+     * Counts a refusal of a stop, and returns the value of its Retry-After header.
+     *
+     * @param service the service of the request; its servers may all have asked for a pause
+     */
+    String retryAfter(Optional<RoutedService> service) {
         boolean isServedElsewhere = isDraining() && mStopRefusals.isServedElsewhere();
-        return RetryAfter.headerValue(isServedElsewhere, mRandom);
+        long pauseMilliseconds =
+                service.map(each -> mDirectory.pauseMilliseconds(each, now())).orElse(0L);
+        return RetryAfter.headerValue(isServedElsewhere, pauseMilliseconds, mRandom);
     }
 
     /** Records how long a request of a route took, or has taken until now. */
--- a/gateway/src/main/java/org/ibisstand/gateway/OwnResponse.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/OwnResponse.java
@@ -3,19 +3,24 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.ibisstand.settings.RoutedService;
 
 /** Builds the headers of responses that the gateway gives in place of a backend server. */
 final class OwnResponse {
     private OwnResponse() {}
 
     static HttpHeaders headers(
-            GatewayContext gateway, CallerRequest request, HttpResponseStatus status) {
+            GatewayContext gateway,
+            CallerRequest request,
+            Optional<RoutedService> service,
+            HttpResponseStatus status) {
         HttpHeaders headers = new DefaultHttpHeaders();
         if (!request.identifier().isEmpty()) {
             headers.set(gateway.headerNames().requestIdentifier(), request.identifier());
         }
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            headers.set("Retry-After", gateway.retryAfter());
+            headers.set("Retry-After", gateway.retryAfter(service));
         }
         return headers;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/PromptPlacement.java
@@ -127,7 +127,7 @@
         long now = mClock.millis();
         Prompt prompt = request.prompt();
         List<BackendServer> eligible =
-                mDirectory.available(request.service(), request.excluded()).stream()
+                mDirectory.available(request.service(), request.excluded(), now).stream()
                         .filter(
                                 candidate ->
                                         candidate != source
@@ -186,7 +186,7 @@
         long now = mClock.millis();
         String model = request.prompt().model();
         List<BackendServer> allowed =
-                mDirectory.available(request.service(), request.excluded()).stream()
+                mDirectory.available(request.service(), request.excluded(), now).stream()
                         .filter(
                                 server ->
                                         staleMilliseconds(server, model, now)
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -469,7 +469,10 @@
         logDone(status.code(), reason, Optional.empty());
         finish();
         mResponseWriter.sendFull(
-                status, OwnResponse.headers(mGateway, mRequest, status), Unpooled.EMPTY_BUFFER);
+                status,
+                OwnResponse.headers(
+                        mGateway, mRequest, mAdmitted.flatMap(AdmittedRequest::service), status),
+                Unpooled.EMPTY_BUFFER);
     }
 
     void endAttempt(Attempt attempt) {
--- a/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RetryAfter.java
@@ -14,19 +14,25 @@
     /** Spreads the retries of callers that were rejected together. */
     private static final double JITTER_SECONDS = 0.3;
 
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
     private RetryAfter() {}
 
     /**
      * Returns the delay in seconds, with three decimals.
      *
      * @param isServedElsewhere whether another gateway serves at once what this one refuses
+     * @param pauseMilliseconds for how long no server of the request's service wants requests
      * @param random the source of the jitter
      */
-    static String headerValue(boolean isServedElsewhere, RandomGenerator random) {
+    static String headerValue(
+            boolean isServedElsewhere, long pauseMilliseconds, RandomGenerator random) {
         if (isServedElsewhere) {
             return "0";
         }
-        double seconds = MINIMUM_DELAY_SECONDS + JITTER_SECONDS * random.nextDouble();
+        double earliest =
+                Math.max(MINIMUM_DELAY_SECONDS, pauseMilliseconds / MILLISECONDS_PER_SECOND);
+        double seconds = earliest + JITTER_SECONDS * random.nextDouble();
         return String.format(Locale.ROOT, "%.3f", seconds);
     }
 }
--- a/gateway/src/main/java/org/ibisstand/gateway/RetryPermit.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RetryPermit.java
@@ -23,7 +23,11 @@
     static boolean hasOtherServer(
             GatewayContext gateway, AdmittedRequest request, Set<BackendServer> excluded) {
         return request.service()
-                .filter(service -> !gateway.directory().available(service, excluded).isEmpty())
+                .filter(
+                        service ->
+                                !gateway.directory()
+                                        .available(service, excluded, gateway.now())
+                                        .isEmpty())
                 .isPresent();
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
@@ -69,6 +69,7 @@
         if (!mForwarder.admitted().isForEngine()
                 || mMove.isPresent()
                 || mGateway.now() < mNextMoveAt
+                || attempt.server().isPaused(mGateway.now())
                 || isResumedAtSource
                 || mGateway.stopsWithin(LONGEST_MOVE_MILLISECONDS)) {
             return;
--- a/gateway/src/main/java/org/ibisstand/gateway/ServerPlacement.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/ServerPlacement.java
@@ -48,8 +48,8 @@
      * @param excluded servers that must not be chosen
      */
     Optional<Destination> choose(RoutedService service, Set<BackendServer> excluded) {
-        List<BackendServer> servers = mDirectory.available(service, excluded);
         long now = mClock.millis();
+        List<BackendServer> servers = mDirectory.available(service, excluded, now);
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         for (int index = 0; index < servers.size(); index++) {
             BackendServer server = servers.get(index);
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendConnectionTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendConnectionTest.java
@@ -25,6 +25,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -128,7 +129,8 @@
                         .setServer("server")
                         .setAddress(address)
                         .setState(ServerRecord.State.READY)
-                        .build());
+                        .build(),
+                new StatedAvailability(new SplittableRandom(1)));
     }
 
     /** Starts a server that responds to the second request once the first has been cancelled. */
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.ibisstand.settings.RoutedService;
 import org.ibisstand.wire.message.ServerRecord;
 import org.ibisstand.wire.message.ServerRecord.State;
@@ -16,7 +17,7 @@
     private static final RoutedService SERVICE =
             new RoutedService("s", "/health", 70, Optional.empty(), Optional.empty());
 
-    private final BackendDirectory mDirectory = new BackendDirectory();
+    private final BackendDirectory mDirectory = new BackendDirectory(new SplittableRandom(1));
 
     /** Guards against one record that stops a gateway from following all others. */
     @ParameterizedTest
@@ -36,9 +37,9 @@
     void allGatewaysTogetherStayWithinTheConnectionLimitOfAServer() {
         mDirectory.setGatewayCount(7);
         mDirectory.update(List.of(record("a", 1, State.READY)), 0);
-        BackendServer server = mDirectory.available(SERVICE, Set.of()).getFirst();
+        BackendServer server = mDirectory.available(SERVICE, Set.of(), 0).getFirst();
         int sentRequests = 0;
-        while (!mDirectory.available(SERVICE, Set.of()).isEmpty()) {
+        while (!mDirectory.available(SERVICE, Set.of(), 0).isEmpty()) {
             server.attemptSent(Samples.unsentAttempt(server), 0, 0);
             sentRequests++;
         }
@@ -55,12 +56,12 @@
     @Test
     void aNewIncarnationDoesNotInheritFailures() {
         mDirectory.update(List.of(record("a", 1, State.READY)), 0);
-        BackendServer previous = mDirectory.available(SERVICE, Set.of()).getFirst();
+        BackendServer previous = mDirectory.available(SERVICE, Set.of(), 0).getFirst();
         previous.recordFailure(0);
 
         mDirectory.update(List.of(record("a", 2, State.READY)), 0);
 
-        BackendServer current = mDirectory.available(SERVICE, Set.of()).getFirst();
+        BackendServer current = mDirectory.available(SERVICE, Set.of(), 0).getFirst();
         assertThat(current).isNotSameInstanceAs(previous);
         assertThat(current.isBackingOff(0)).isFalse();
         assertThat(previous.acceptsRequests()).isFalse();
@@ -104,7 +105,9 @@
     }
 
     private List<String> readyServerNames() {
-        return mDirectory.available(SERVICE, Set.of()).stream().map(BackendServer::name).toList();
+        return mDirectory.available(SERVICE, Set.of(), 0).stream()
+                .map(BackendServer::name)
+                .toList();
     }
 
     private static ServerRecord record(String server, long bornMilliseconds, State state) {
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendServerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.SplittableRandom;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.Test;
@@ -13,7 +14,8 @@
                             .setServer("s")
                             .setAddress("10.0.0.1:1")
                             .putWeights("m", 1)
-                            .build());
+                            .build(),
+                    new StatedAvailability(new SplittableRandom(1)));
 
     @Test
     void onlyOneRequestAtATimeProbesAFailedServer() {
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -225,6 +225,41 @@
         assertThat(streamWhileEngineIsAboutToLoad()).startsWith("HTTP/1.1 502");
     }
 
+    /** The engine stops the run, has no room for a copy and asks for no requests. */
+    @Test
+    void aPausedEngineDoesNotGetTheRunBackThatItStopped() throws Exception {
+        ScriptedServer.Script pausing =
+                (request, identifier, connection) -> {
+                    if (request.startsWith("POST /move/")) {
+                        mMoveRequested.countDown();
+                        write(
+                                connection,
+                                "HTTP/1.1 503 X\r\nRetry-After: 5\r\nContent-Length: 6\r\n\r\n"
+                                        + "handle");
+                    } else if (header(request, "x-run-source").isEmpty()) {
+                        write(connection, STREAM_HEAD + chunk("id: 1\ndata: a\n\n"));
+                        await(mNoticesDelivered);
+                        write(connection, chunk("id: 2\ndata: b\n\n"));
+                        await(mMoveRequested);
+                    } else {
+                        write(connection, STREAM_HEAD + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+                    }
+                    connection.close();
+                };
+        startServers(Repetition.STREAM, pausing, pausing);
+
+        String response = streamWhileEngineIsAboutToLoad();
+
+        assertThat(response).contains("id: 2");
+        assertThat(response).doesNotContain("0\r\n\r\n");
+        assertThat(
+                        mServers.stream()
+                                .flatMap(server -> server.requests().stream())
+                                .filter(request -> !header(request, "x-run-source").isEmpty())
+                                .toList())
+                .isEmpty();
+    }
+
     /**
      * An engine that stops a run for a move closes its stream without its end. Without a length,
      * that looks like the end.
--- a/gateway/src/test/java/org/ibisstand/gateway/PartQuarantineTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/PartQuarantineTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.ibisstand.base.ManualClock;
 import org.ibisstand.fleet.CrashEvidence;
@@ -31,7 +32,7 @@
     private static final Prompt CRASHING = prompt("shared", "crashing", "own");
 
     private final ManualClock mClock = ManualClock.at(Instant.ofEpochSecond(1_000));
-    private final BackendDirectory mDirectory = new BackendDirectory();
+    private final BackendDirectory mDirectory = new BackendDirectory(new SplittableRandom(1));
     private final Map<Integer, Long> mBorn = new HashMap<>();
     private final List<PartQuarantine> mGateways = new ArrayList<>();
     private final List<EngineNotices> mSent = new ArrayList<>();
--- a/gateway/src/test/java/org/ibisstand/gateway/StopRefusalsTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/StopRefusalsTest.java
@@ -24,7 +24,7 @@
     @ParameterizedTest
     @CsvSource({"true, 0, 0", "false, 0.1, 0.4"})
     void aCallerThatIsSentBackHereWaits(boolean isElsewhere, double shortest, double longest) {
-        String value = RetryAfter.headerValue(isElsewhere, new SplittableRandom(1));
+        String value = RetryAfter.headerValue(isElsewhere, 0, new SplittableRandom(1));
 
         assertThat(Double.parseDouble(value)).isAtLeast(shortest);
         assertThat(Double.parseDouble(value)).isAtMost(longest);
