Read the pause of a server in one place when a stopped run resumes

The gateway read Retry-After twice: for requests in RequestedPause, and for stopped runs in Attempt, where a value in another form counted as an hour. A resumption now waits for the pause that the server asked for. The timers of a request are scheduled in one place.

--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -19,11 +19,6 @@
     /** Requests that may run only once do not use connections that were idle for longer. */
     private static final long NON_RETRYABLE_MAXIMUM_IDLE_MILLISECONDS = 1_000;
 
-    private static final double MILLISECONDS_PER_SECOND = 1_000;
-
-    /** Longer than any request lasts, in milliseconds. */
-    private static final long MAXIMUM_RETRY_AFTER = 3_600_000;
-
     private final RequestForwarder mForwarder;
     private final GatewayContext mGateway;
     private final ServerPlacement.Destination mDestination;
@@ -140,18 +135,6 @@
         }
     }
 
-    /** Returns after which time the server wants the request again; zero if it does not say. */
-    long retryAfterMilliseconds() {
-        String text = mHead.map(head -> head.headers().get("Retry-After", "")).orElse("");
-        try {
-            double seconds = text.isEmpty() ? 0 : Double.parseDouble(text);
-            return (long) Math.clamp(seconds * MILLISECONDS_PER_SECOND, 0, MAXIMUM_RETRY_AFTER);
-        } catch (NumberFormatException e) {
-            // A date, which engines do not use.
-            return MAXIMUM_RETRY_AFTER;
-        }
-    }
-
     /** Returns the weights version that the engine changed to during the stream, if it did. */
     Optional<String> changedWeights() {
         return mRelay.flatMap(StreamRelay::changedWeights);
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -8,7 +8,6 @@
 import io.netty.util.concurrent.Future;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ibisstand.base.LoggedTask;
@@ -62,13 +61,7 @@
         if (mGateway.routeTable().isEmpty() && !mGateway.isDraining()) {
             mLog.event("waits_for_configuration", "longest_ms", CONFIGURATION_WAIT_MILLISECONDS);
             mGateway.whenConfigured(this::checkAdmission);
-            mTimeout =
-                    Optional.of(
-                            mGateway.loop()
-                                    .schedule(
-                                            LoggedTask.of("check_admission", this::checkAdmission),
-                                            CONFIGURATION_WAIT_MILLISECONDS,
-                                            TimeUnit.MILLISECONDS));
+            schedule("check_admission", this::checkAdmission, CONFIGURATION_WAIT_MILLISECONDS);
         } else {
             checkAdmission();
         }
@@ -102,13 +95,7 @@
     private void admit(Admission.Admitted admission) {
         AdmittedRequest admitted = new AdmittedRequest(mGateway, mRequest, admission);
         mAdmitted = Optional.of(admitted);
-        mTimeout =
-                Optional.of(
-                        mGateway.loop()
-                                .schedule(
-                                        LoggedTask.of("expire_deadline", this::deadlineExpired),
-                                        Math.max(0, admitted.remainingMilliseconds()),
-                                        TimeUnit.MILLISECONDS));
+        schedule("expire_deadline", this::deadlineExpired, admitted.remainingMilliseconds());
         mGateway.retryBudget(admitted.serviceName()).recordRequest();
         if (mGateway.endsBeforeStop(admitted)) {
             startAttempt();
@@ -118,6 +105,17 @@
         }
     }
 
+    /** Schedules the next time-out of the request. */
+    private void schedule(String name, Runnable task, long milliseconds) {
+        mTimeout =
+                Optional.of(
+                        mGateway.loop()
+                                .schedule(
+                                        LoggedTask.of(name, task),
+                                        Math.max(0, milliseconds),
+                                        TimeUnit.MILLISECONDS));
+    }
+
     /**
      * Ends the request if a part of its prompt is quarantined, with a status that does not invite
      * callers to retry.
@@ -257,7 +255,7 @@
         mLog.attemptEvent("not_sent", attempt, "reason", reason);
         endAttempt(attempt);
         if (mRunMover.isResuming()) {
-            mRunMover.resumeRejected(reason, OptionalLong.of(0));
+            mRunMover.resumeRejected(attempt.server(), reason, true);
             return;
         }
         mRejectionCount++;
@@ -275,11 +273,7 @@
         if (mRunMover.isResuming()) {
             mLog.attemptEvent("not_run", attempt, "status", status);
             boolean isMomentary = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-            mRunMover.resumeRejected(
-                    "refused_by_server",
-                    isMomentary
-                            ? OptionalLong.of(attempt.retryAfterMilliseconds())
-                            : OptionalLong.empty());
+            mRunMover.resumeRejected(attempt.server(), "refused_by_server", isMomentary);
             return;
         }
         mRejectionCount++;
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -187,11 +186,15 @@
      * Handles a rejected request to resume a run: it goes to the other engine that has the run's KV
      * cache, or to the same one later.
      *
-     * @param pauseMilliseconds after which the engine may accept the run; empty if it will not
+     * @param server the engine that rejected it
+     * @param reason why, as it is logged
+     * @param isMomentary whether the engine may accept the run later
      */
-    void resumeRejected(String reason, OptionalLong pauseMilliseconds) {
-        pauseMilliseconds.ifPresent(
-                pause -> mResumption.orElseThrow().refusedUntil(mGateway.now() + pause));
+    void resumeRejected(BackendServer server, String reason, boolean isMomentary) {
+        if (isMomentary) {
+            long now = mGateway.now();
+            mResumption.orElseThrow().refusedUntil(now + server.pauseMilliseconds(now));
+        }
         resume(reason);
     }
 
--- a/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/EngineGatewayTest.java
@@ -24,10 +24,7 @@
 import org.ibisstand.base.MonotonicClock;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.Route.Repetition;
-import org.ibisstand.settings.RoutedService;
 import org.ibisstand.settings.RoutingConfiguration;
-import org.ibisstand.settings.RoutingConfiguration.CallerLimits;
-import org.ibisstand.settings.RoutingConfiguration.TeamKeys;
 import org.ibisstand.wire.message.EngineNotice;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.ServerRecord;
@@ -49,7 +46,7 @@
     private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
 
     /** Longer than a move and the requests that resume its run take together. */
-    private static final long TIMEOUT_MILLISECONDS = 9_000;
+    static final long TIMEOUT_MILLISECONDS = 9_000;
 
     /**
      * More than the socket buffers hold of bytes that one socket sent and its peer did not read.
@@ -451,7 +448,7 @@
         for (ScriptedServer.Script script : scripts) {
             mServers.add(ScriptedServer.start(script));
         }
-        mConfiguration = configuration(repetition);
+        mConfiguration = Samples.engineConfiguration(repetition, TIMEOUT_MILLISECONDS);
     }
 
     /** Sets the weights version that operators ordered and the one that all engines announce. */
@@ -473,26 +470,6 @@
                 .join();
     }
 
-    static RoutingConfiguration configuration(Repetition repetition) {
-        return new RoutingConfiguration(
-                1,
-                List.of(Samples.route("/p/", repetition, TIMEOUT_MILLISECONDS)),
-                List.of(
-                        new RoutedService(
-                                "service",
-                                "/health",
-                                100,
-                                Optional.of(
-                                        new RoutedService.Engine(
-                                                4, 10_000, 10, 1_000, true, List.of(MODEL))),
-                                Optional.empty())),
-                new CallerLimits(16384, 100_000, 3000, 15000),
-                Optional.of(
-                        List.of(
-                                new TeamKeys("t1", List.of("key"), Optional.empty(), false),
-                                new TeamKeys("t2", List.of("secret"), Optional.empty(), true))));
-    }
-
     private String sendRequest(Team team) throws IOException {
         try (Socket caller = connect()) {
             write(caller, request(team.mKey));
--- a/gateway/src/test/java/org/ibisstand/gateway/RunMoveHarness.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/RunMoveHarness.java
@@ -84,7 +84,10 @@
     private void update(List<ServerRecord> records) {
         mGateway.update(
                         new FleetState(
-                                Optional.of(EngineGatewayTest.configuration(Repetition.STREAM)),
+                                Optional.of(
+                                        Samples.engineConfiguration(
+                                                Repetition.STREAM,
+                                                EngineGatewayTest.TIMEOUT_MILLISECONDS)),
                                 Map.of(MODEL, 1L),
                                 records,
                                 1))
--- a/gateway/src/test/java/org/ibisstand/gateway/RunResumptionTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/RunResumptionTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.ibisstand.wire.message.ServerRecord;
 import org.junit.jupiter.api.Test;
 
@@ -12,8 +13,8 @@
     private static final long NOW = 1_000;
 
     private final ServerRecord mTargetRecord = record("target", 1);
-    private final BackendServer mTarget = new BackendServer(mTargetRecord);
-    private final BackendServer mSource = new BackendServer(record("source", 2));
+    private final BackendServer mTarget = server(mTargetRecord);
+    private final BackendServer mSource = server(record("source", 2));
     private final RunResumption mResumption =
             new RunResumption(
                     mSource,
@@ -81,6 +82,10 @@
                 .hasValue(mSource);
     }
 
+    private static BackendServer server(ServerRecord record) {
+        return new BackendServer(record, new StatedAvailability(new SplittableRandom(1)));
+    }
+
     private static ServerRecord record(String name, int host) {
         return ServerRecord.newBuilder()
                 .setServer(name)
--- a/gateway/src/test/java/org/ibisstand/gateway/Samples.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/Samples.java
@@ -147,4 +147,26 @@
                 false,
                 400);
     }
+
+    /** Returns a configuration with two teams and a service of engines. */
+    static RoutingConfiguration engineConfiguration(
+            Repetition repetition, long timeoutMilliseconds) {
+        return new RoutingConfiguration(
+                1,
+                List.of(route("/p/", repetition, timeoutMilliseconds)),
+                List.of(
+                        new RoutedService(
+                                "service",
+                                "/health",
+                                100,
+                                Optional.of(
+                                        new RoutedService.Engine(
+                                                4, 10_000, 10, 1_000, true, List.of("model"))),
+                                Optional.empty())),
+                new CallerLimits(16384, 100_000, 3000, 15000),
+                Optional.of(
+                        List.of(
+                                new TeamKeys("t1", List.of("key"), Optional.empty(), false),
+                                new TeamKeys("t2", List.of("secret"), Optional.empty(), true))));
+    }
 }
