Count a disk as accepting writes before the refused write is reported

A change made as a refused write was reported as durable could be refused itself, and a due compaction waited for the next step: the storage thread told of the durable write first and only then that the disk accepts writes again.

It does so the other way round now.

--- a/control/src/main/java/org/ibisstand/control/StorageThread.java
+++ b/control/src/main/java/org/ibisstand/control/StorageThread.java
@@ -32,7 +32,7 @@
     /** Longer, since all files are read again. */
     private static final long REOPEN_INTERVAL_MILLISECONDS = 500;
 
-    private static final long NOTHING_PERSISTED = -1;
+    private static final long NOTHING_DURABLE = -1;
 
     private final LogWriter mWriter;
     private final LongConsumer mOnPersisted;
@@ -42,7 +42,8 @@
     private final ScheduledExecutorService mThread =
             new LoggingScheduler("control-storage", LogLine::write);
     private boolean mHasFailed;
-    private long mPersistedSequence = NOTHING_PERSISTED;
+    private long mDurableSequence = NOTHING_DURABLE;
+    private long mReportedSequence = NOTHING_DURABLE;
     private int mRefusals;
     private volatile boolean mIsRefused;
 
@@ -104,6 +105,7 @@
                 CompletableFuture.runAsync(this::writeAndSync, Runnable::run);
         if (!attempt.isCompletedExceptionally()) {
             accepted();
+            reportPersisted();
             return;
         }
         switch (attempt.exceptionNow()) {
@@ -127,10 +129,16 @@
         for (int remaining = mNewWrites.size(); remaining > 0; remaining--) {
             mWriter.add(mNewWrites.remove());
         }
-        if (mWriter.size() > 0 || mPersistedSequence == NOTHING_PERSISTED) {
+        if (mWriter.size() > 0 || mDurableSequence == NOTHING_DURABLE) {
             mWriter.write();
-            mPersistedSequence = mWriter.sync();
-            mOnPersisted.accept(mPersistedSequence);
+            mDurableSequence = mWriter.sync();
+        }
+    }
+
+    private void reportPersisted() {
+        if (mDurableSequence > mReportedSequence) {
+            mReportedSequence = mDurableSequence;
+            mOnPersisted.accept(mReportedSequence);
         }
     }
 
--- a/control/src/test/java/org/ibisstand/control/StorageThreadTest.java
+++ b/control/src/test/java/org/ibisstand/control/StorageThreadTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ibisstand.consensus.Output;
 import org.ibisstand.storage.LogRecord;
@@ -21,14 +22,20 @@
 
 class StorageThreadTest {
     private final MemoryDisk mDisk = new MemoryDisk();
+    private final AtomicBoolean mIsRefusedAsReported = new AtomicBoolean();
     private final BlockingQueue<Long> mPersisted = new LinkedBlockingQueue<>();
     private final StorageThread mThread =
             new StorageThread(
                     LogStore.open(mDisk, 1 << 20, new Random(1)).store(),
-                    mPersisted::add,
+                    this::persisted,
                     refusal -> {},
                     failure -> {});
 
+    private void persisted(long sequence) {
+        mIsRefusedAsReported.set(mThread.isRefused());
+        mPersisted.add(sequence);
+    }
+
     @AfterEach
     void stop() {
         mThread.close();
@@ -55,6 +62,22 @@
         assertThat(mThread.isRefused()).isFalse();
     }
 
+    /** A change made as a write was reported was refused, though the disk had accepted it. */
+    @Test
+    void theDiskAcceptsWritesOnceARefusedOneIsReported() throws Exception {
+        AtomicInteger operations = new AtomicInteger();
+        mDisk.setFaultHook(
+                operation -> {
+                    if (operations.incrementAndGet() == 1) {
+                        throw new IOException("no space left on the disk");
+                    }
+                });
+        mThread.write(persist(1));
+
+        assertThat(mPersisted.poll(20, TimeUnit.SECONDS)).isEqualTo(1);
+        assertThat(mIsRefusedAsReported.get()).isFalse();
+    }
+
     private static Output.Persist persist(long index) {
         byte[] payload = ("record " + index).getBytes(StandardCharsets.UTF_8);
         return new Output.Persist(
