Resume no run at an engine that said in a response that it leaves

An engine whose response said that it leaves kept being asked to resume runs for as long as its record called it ready, although it may be gone by then. Both signs now count from the earlier one.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -233,7 +233,7 @@
 
     /** Returns whether to move runs elsewhere: the engine is loading weights or will soon stop. */
     boolean shouldMoveRuns(long now) {
-        long leavingSince = Math.min(mLeavingSince, mAvailability.leavingSince());
+        long leavingSince = leavingSince();
         return isLoading(now)
                 || (leavingSince != Long.MAX_VALUE
                         && now - leavingSince > LEAVING_GRACE_MILLISECONDS);
@@ -241,8 +241,14 @@
 
     /** Returns whether a run whose KV cache is here may still be sent here. */
     boolean resumesRuns(long now) {
-        return mLeavingSince == Long.MAX_VALUE
-                || now - mLeavingSince < LEAVING_RESUMPTION_MILLISECONDS;
+        long leavingSince = leavingSince();
+        return leavingSince == Long.MAX_VALUE
+                || now - leavingSince < LEAVING_RESUMPTION_MILLISECONDS;
+    }
+
+    /** Returns since when the server is known to stop soon; the end of time if it is not. */
+    private long leavingSince() {
+        return Math.min(mLeavingSince, mAvailability.leavingSince());
     }
 
     /** Returns whether the engine does not answer its own agent. */
