Read what arrived at a busy stopping gateway before connections close

Callers of a busy gateway lost requests that they had sent up to a quarter of a second before it stopped to accept: their connection closed, or was reset, without an answer, and no line named them.

The step that closes the listener and idle connections is a timed task. When the event loop is behind, it runs tasks that are due before it reads its sockets, so requests that had waited there were never read. The step now lets the loop read once more first.

Both cases of aRequestThatArrivedAtABusyGatewayIsReadBeforeItsConnectionCloses failed before, with a closed and with a reset connection, and pass now. What arrives during the last reading can still cross the close, unread.

--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
@@ -39,7 +39,7 @@
     CompletableFuture<Void> start() {
         long stopMilliseconds = mGateway.settings().stopMilliseconds();
         mGateway.loop().execute(LoggedTask.of("begin_stop", this::begin));
-        schedule("stop_accepting", this::stopAccepting, acceptingMilliseconds());
+        schedule("stop_accepting", this::readThenStopAccepting, acceptingMilliseconds());
         schedule("end_requests", this::endRequests, stopMilliseconds);
         schedule("end_stop", this::end, stopMilliseconds + LAST_ANSWERS_MILLISECONDS);
         mGateway.loop()
@@ -75,6 +75,14 @@
         return mGateway.settings().stopMilliseconds() / ACCEPT_TIME_DIVISOR;
     }
 
+    /**
+     * Lets the event loop read once more what arrived while it was busy. Tasks that are due run
+     * before that, so the close is scheduled anew.
+     */
+    private void readThenStopAccepting() {
+        schedule("close_idle", this::stopAccepting, 1);
+    }
+
     /** Requests that arrive from now on might not finish before the stop time ends. */
     private void stopAccepting() {
         mServerChannel.close();
