Count no record that a failed first sync may have lost

A member that starts on a disk whose first sync fails reads its files again. What it had read and no sync had covered could be gone then; the check asked only for records that were known to be synced, so the member would have counted the others as its own vote for a commit, or met a gap at the next record and read its files again for ever. Found by review; no run showed a system that drops them.

Until the first sync has succeeded, all records that were read as the store was opened have to be there. If not, the process ends and reads what is left. reopeningFailsIfARecordThatWasReadAtTheStartIsGone guards it.

--- a/storage/src/main/java/org/ibisstand/storage/LogStore.java
+++ b/storage/src/main/java/org/ibisstand/storage/LogStore.java
@@ -34,6 +34,7 @@
     private OptionalLong mResetIndex;
     private long mSnapshotIndex;
     private long mSyncedIndex;
+    private long mOpenedIndex;
     private boolean mNeedsRepair;
     private boolean mMayRepeat;
     private boolean mFailed;
@@ -43,6 +44,7 @@
         mSegmentBytes = segmentBytes;
         mIdentity = files.recovered().identity();
         use(files);
+        mOpenedIndex = lastIndex();
     }
 
     /**
@@ -67,8 +69,9 @@
     /**
      * Reads all files again after a failed operation.
      *
-     * @throws IbisstandException STORAGE_DAMAGED if synced content is lost or corrupt,
-     *     STORAGE_REFUSED if the files cannot be read now
+     * @throws IbisstandException STORAGE_DAMAGED if synced content is lost or corrupt, or what was
+     *     read as the store was opened, which the owner may hold for durable; STORAGE_REFUSED if
+     *     the files cannot be read now
      */
     public void reopen() {
         mFailed = true;
@@ -82,12 +85,15 @@
         boolean isComplete =
                 files.recovered().identity() == mIdentity
                         && files.recovered().termAndVote().term() >= mTermAndVote.term()
-                        && files.lastIndex() >= mSyncedIndex;
+                        && files.lastIndex() >= Math.max(mSyncedIndex, mOpenedIndex);
         if (!isComplete) {
             files.segments().forEach(Segment::close);
             throw new IbisstandException(
                     ErrorCode.STORAGE_DAMAGED,
-                    "synced content is gone: record " + mSyncedIndex + " or " + mTermAndVote);
+                    "content is gone: record "
+                            + Math.max(mSyncedIndex, mOpenedIndex)
+                            + " or "
+                            + mTermAndVote);
         }
         use(files);
         mMayRepeat = true;
@@ -190,6 +196,7 @@
         mSegments.getLast().rewriteUnsynced();
         syncNewestSegment();
         mNeedsRepair = false;
+        mOpenedIndex = 0;
     }
 
     private void replaceTermAndVote(TermAndVote termAndVote) throws IOException {
--- a/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
+++ b/storage/src/test/java/org/ibisstand/storage/LogStoreTest.java
@@ -229,6 +229,19 @@
         assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
     }
 
+    /** The member counts what it has read, and nothing writes that again. */
+    @Test
+    void reopeningFailsIfARecordThatWasReadAtTheStartIsGone() throws Exception {
+        open(mDisk).store().append(records(1, 12, 1));
+        LogStore store = open(mDisk).store();
+        mDisk.setSyncFails(true);
+        assertErrorCode(ErrorCode.STORAGE_FAILED, store::sync);
+        mDisk.setSyncFails(false);
+        mDisk.delete(FIRST_SEGMENT);
+
+        assertErrorCode(ErrorCode.STORAGE_DAMAGED, store::reopen);
+    }
+
     @Test
     void fullDiskFailsAppendAndKeepsSyncedRecords() {
         LogStore store = open(mDisk).store();
