Leave runs where they are when their server was only silent

An engine that said nothing for some seconds was taken off the list, and listed again as soon as it was heard. Gateways made a new entry for the same incarnation: the runs under way stayed with the old one, which counted as leaving for good. At their next event all of them were moved, at all gateways at once, from an engine that was well, and one that could not be moved was lost, since the old entry took no resumption.

A server that is off the list gets no new requests; its runs stay, unless it says that it leaves. The same incarnation keeps its entry when it is listed again. theRunsOfAServerThatWasOnlySilentStayWhereTheyAre failed before.

--- a/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendDirectory.java
@@ -30,12 +30,11 @@
     private final RandomGenerator mRandom;
     private final Map<String, BackendServer> mServersByName = new HashMap<>();
 
-    /** Kept after a server is delisted, as a late record may list the same incarnation again. */
-    private final Map<Incarnation, StatedAvailability> mAvailability =
+    /** Servers that may be listed again, as they were only silent for a while. */
+    private final Map<Incarnation, BackendServer> mRemoved =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(
-                        Map.Entry<Incarnation, StatedAvailability> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<Incarnation, BackendServer> eldest) {
                     return size() > MAXIMUM_INCARNATIONS;
                 }
             };
@@ -75,8 +74,7 @@
                         server -> {
                             boolean isDelisted = !listed.contains(server.getKey());
                             if (isDelisted) {
-                                logChanged("server_unlisted", server.getValue());
-                                server.getValue().markRemoved(now);
+                                remove("server_unlisted", server.getValue());
                             }
                             return isDelisted;
                         });
@@ -166,17 +164,30 @@
             return;
         }
         if (existing != null) {
-            logChanged("server_replaced", existing);
-            existing.markRemoved(now);
+            remove("server_replaced", existing);
         }
-        StatedAvailability availability =
-                mAvailability.computeIfAbsent(
-                        Incarnation.of(record), incarnation -> new StatedAvailability(mRandom));
-        BackendServer server = new BackendServer(record, availability);
+        BackendServer server = findOrCreate(record, now);
         mServersByName.put(record.getServer(), server);
         logChanged("server_listed", server);
     }
 
+    private void remove(String event, BackendServer server) {
+        logChanged(event, server);
+        server.markRemoved();
+        mRemoved.put(Incarnation.of(server.record()), server);
+    }
+
+    /** Returns the server of an incarnation that was listed before, with its runs, or a new one. */
+    private BackendServer findOrCreate(ServerRecord record, long now) {
+        BackendServer removed = mRemoved.remove(Incarnation.of(record));
+        if (removed == null) {
+            return new BackendServer(record, new StatedAvailability(mRandom));
+        }
+        removed.update(record, now);
+        removed.markListed();
+        return removed;
+    }
+
     private static void logChanged(String event, BackendServer server) {
         LogLine.info(event)
                 .with("server", server.name())
--- a/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/BackendServer.java
@@ -130,13 +130,20 @@
         }
     }
 
-    /** Stops sending requests here and closes idle connections; requests in progress continue. */
-    void markRemoved(long now) {
+    /**
+     * Stops sending requests here and closes idle connections; requests in progress continue. The
+     * server may only have been silent, so its runs stay unless it says that it leaves.
+     */
+    void markRemoved() {
         mRemoved = true;
-        mLeavingSince = Math.min(mLeavingSince, now);
         closeIdleConnections();
     }
 
+    /** Makes a server that was removed receive requests again, as its record is listed again. */
+    void markListed() {
+        mRemoved = false;
+    }
+
     /** Sends no requests here for a while, as the server asked in a response. */
     void recordPause(long milliseconds, long now) {
         mAvailability.recordPause(milliseconds, now);
--- a/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/BackendDirectoryTest.java
@@ -53,6 +53,23 @@
         assertThat(readyServerNames()).containsExactly("b");
     }
 
+    /** All runs of an engine were moved at once, at all gateways, after it had been silent. */
+    @Test
+    void theRunsOfAServerThatWasOnlySilentStayWhereTheyAre() {
+        mDirectory.update(List.of(record("a", 1, State.READY)), 0);
+        BackendServer server = mDirectory.servers().iterator().next();
+
+        mDirectory.update(List.of(), 5_000);
+        assertThat(server.acceptsRequests()).isFalse();
+        assertThat(server.shouldMoveRuns(10_000)).isFalse();
+        assertThat(server.resumesRuns(10_000)).isTrue();
+
+        mDirectory.update(List.of(record("a", 1, State.READY)), 10_000);
+        assertThat(mDirectory.servers()).containsExactly(server);
+        assertThat(server.acceptsRequests()).isTrue();
+        assertThat(server.shouldMoveRuns(20_000)).isFalse();
+    }
+
     @Test
     void aNewIncarnationDoesNotInheritFailures() {
         mDirectory.update(List.of(record("a", 1, State.READY)), 0);
