Keep every place where a stopped run may resume

- a stream that ended 3.4 to 4 s after an unanswered stop was forgotten, and its caller waited for the whole time of the request;
- a stop that was refused with a handle, at an engine that leaves, did not try the first copy at the target;
- a late answer to a stop freed memory that the resumption may still need;
- a run was stopped for a target that had just asked for a pause, and the rest of a stopped run stayed unread while its caller read slowly.

A stop without an answer is now left open until the stream ends, the first copy is a place to resume from whenever the target has no newer one, nothing is freed after a run has stopped, targets that pause are obstacles, and the rest of a stopped run is read at once. Timers of requests and moves log their failures and end the request; rejected requests are named; the end of a stop reads once more before it cuts.

The case 5000, 3700 of aRunWhoseStopIsAnsweredLateResumes failed before.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.ibisstand.base.LogLine;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.fleet.NoticePace;
 import org.ibisstand.settings.Address;
@@ -136,7 +137,14 @@
                         .isPresent();
         if (!isWaiting && !now.isBefore(mNextStatusAt)) {
             mRequestSentAt = Optional.of(now);
-            mEngine.status().whenCompleteAsync(this::onStatusReply, mControlThread);
+            mEngine.status()
+                    .whenCompleteAsync(
+                            (status, failure) ->
+                                    LoggedTask.of(
+                                                    "engine_status",
+                                                    () -> onStatusReply(status, failure))
+                                            .run(),
+                            mControlThread);
         }
     }
 
--- a/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/Attempt.java
@@ -153,8 +153,9 @@
         return mHead.isEmpty() && isSent();
     }
 
+    /** Pauses or resumes reading; the rest of a run that is asked to stop is read at once. */
     void setReading(boolean reading) {
-        mExchange.ifPresent(exchange -> exchange.setReading(reading));
+        mExchange.ifPresent(exchange -> exchange.setReading(reading || mPossibleStops > 0));
     }
 
     void cancel() {
@@ -164,6 +165,7 @@
     /** Notes that the engine was asked to stop the run, which it may do late. */
     void stopRequested() {
         mPossibleStops++;
+        setReading(true);
     }
 
     /** Notes that the engine did not stop the run when it was last asked to, and will not. */
--- a/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/CallerConnection.java
@@ -388,6 +388,13 @@
         forwarder.start();
     }
 
+    private void logRejected(HttpResponseStatus status) {
+        LogLine line = LogLine.info("request_rejected");
+        mHead.map(head -> head.headers().get(mGateway.headerNames().requestIdentifier(), ""))
+                .ifPresent(line::request);
+        line.with("status", status.code()).with("behind", requestsInProgress()).write();
+    }
+
     private static boolean keepsAlive(CallerRequest request) {
         return !request.headers()
                 .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
@@ -426,6 +433,7 @@
      * request before it that is still in progress is answered first.
      */
     private void reject(HttpResponseStatus status) {
+        logRejected(status);
         mRejected = true;
         mHead = Optional.empty();
         dropBody();
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,8 +11,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.ibisstand.base.LoggedTask;
 import org.ibisstand.fleet.FleetState;
 import org.ibisstand.settings.RoutedService;
 import org.ibisstand.wire.WireContext;
@@ -224,6 +227,11 @@
         return mLoop;
     }
 
+    /** Schedules a task on the event loop, and logs its failure. */
+    Future<?> schedule(String name, Runnable task, long milliseconds) {
+        return mLoop.schedule(LoggedTask.of(name, task), milliseconds, TimeUnit.MILLISECONDS);
+    }
+
     RandomGenerator random() {
         return mRandom;
     }
--- a/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/GatewayStop.java
@@ -39,8 +39,8 @@
     CompletableFuture<Void> start() {
         long stopMilliseconds = mGateway.settings().stopMilliseconds();
         mGateway.loop().execute(LoggedTask.of("begin_stop", this::begin));
-        schedule("stop_accepting", this::readThenStopAccepting, acceptingMilliseconds());
-        schedule("end_requests", this::endRequests, stopMilliseconds);
+        scheduleAfterReading("stop_accepting", this::stopAccepting, acceptingMilliseconds());
+        scheduleAfterReading("end_requests", this::endRequests, stopMilliseconds);
         schedule("end_stop", this::end, stopMilliseconds + LAST_ANSWERS_MILLISECONDS);
         mGateway.loop()
                 .scheduleWithFixedDelay(
@@ -56,6 +56,14 @@
                 .schedule(LoggedTask.of(name, task), delayMilliseconds, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Lets the event loop read once more what arrived while it was busy. Tasks that are due run
+     * before that, so the task is scheduled anew.
+     */
+    private void scheduleAfterReading(String name, Runnable task, long delayMilliseconds) {
+        schedule(name, () -> schedule(name, task, 1), delayMilliseconds);
+    }
+
     /** Runs a step for each caller; one that fails keeps no other from it. */
     private void forEachCaller(String name, Consumer<CallerConnection> step) {
         List.copyOf(mGateway.callers())
@@ -75,14 +83,6 @@
         return mGateway.settings().stopMilliseconds() / ACCEPT_TIME_DIVISOR;
     }
 
-    /**
-     * Lets the event loop read once more what arrived while it was busy. Tasks that are due run
-     * before that, so the close is scheduled anew.
-     */
-    private void readThenStopAccepting() {
-        schedule("close_idle", this::stopAccepting, 1);
-    }
-
     /** Requests that arrive from now on might not finish before the stop time ends. */
     private void stopAccepting() {
         mServerChannel.close();
--- a/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RequestForwarder.java
@@ -9,8 +9,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import org.ibisstand.base.LoggedTask;
 import org.ibisstand.settings.Route;
 
 /**
@@ -109,11 +107,19 @@
     private void schedule(String name, Runnable task, long milliseconds) {
         mTimeout =
                 Optional.of(
-                        mGateway.loop()
-                                .schedule(
-                                        LoggedTask.of(name, task),
-                                        Math.max(0, milliseconds),
-                                        TimeUnit.MILLISECONDS));
+                        mGateway.schedule(name, () -> runOrFail(task), Math.max(0, milliseconds)));
+    }
+
+    /** A request whose time-out fails has no other one. */
+    private void runOrFail(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            if (!mDone) {
+                fail("internal_error");
+            }
+            throw e;
+        }
     }
 
     /**
@@ -206,17 +212,14 @@
         if (route.repetition() != Route.Repetition.IDEMPOTENT) {
             return;
         }
-        mGateway.loop()
-                .schedule(
-                        () -> {
-                            if (!mDone && isCurrent(attempt) && attempt.awaitsHead()) {
-                                attemptFailed(attempt, "silent", true);
-                            }
-                        },
-                        Math.min(
-                                route.objectiveMilliseconds(),
-                                admitted().remainingMilliseconds() / 2),
-                        TimeUnit.MILLISECONDS);
+        mGateway.schedule(
+                "expire_attempt",
+                () -> {
+                    if (isCurrent(attempt) && attempt.awaitsHead()) {
+                        attemptFailed(attempt, "silent", true);
+                    }
+                },
+                Math.min(route.objectiveMilliseconds(), admitted().remainingMilliseconds() / 2));
     }
 
     /** Logs that the request, or the rest of its response, is still in progress. */
@@ -224,7 +227,6 @@
         mLog.inProgress(mAttempt, mAttemptCount, mDone);
     }
 
-    /** Returns the mover of this request's run. */
     RunMover runMover() {
         return mRunMover;
     }
@@ -366,7 +368,6 @@
         mResponseWriter.sendFull(head.status(), headers, body);
     }
 
-    /** Returns whether a part of a stream was sent to the caller. */
     boolean isStreamStarted() {
         return mRelay.filter(StreamRelay::isStarted).isPresent();
     }
@@ -388,7 +389,6 @@
         mRelay.ifPresent(StreamRelay::end);
     }
 
-    /** Records how long the request has taken until now. */
     void recordDuration(boolean isDone) {
         if (mAdmitted.isPresent()) {
             mGateway.recordDuration(route().name(), mLog.elapsedMilliseconds(), isDone);
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMove.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -54,11 +53,16 @@
      * What is known of a run that has stopped.
      *
      * @param handle the identifier of its KV cache
-     * @param isCopied whether the target has a copy
+     * @param isCopied whether the target has a whole copy
+     * @param earlierCopy the identifier of the copy that the target had before the stop
      * @param isStreamComplete whether all events from before the stop arrived; a missing one may
      *     state that the weights changed
      */
-    record StoppedRun(String handle, boolean isCopied, boolean isStreamComplete) {}
+    record StoppedRun(
+            String handle,
+            boolean isCopied,
+            Optional<String> earlierCopy,
+            boolean isStreamComplete) {}
 
     void start(String requestIdentifier) {
         FullHttpRequest copyRequest =
@@ -130,7 +134,7 @@
 
     private void stopAnswered(RunMoveProtocol.Reply reply) {
         if (mPhase == Phase.DONE) {
-            releaseIfStored(reply);
+            // A run that resumes from its first copy may still need the memory of this one.
             return;
         }
         mStopReply = Optional.of(reply);
@@ -151,8 +155,7 @@
         }
         StreamEnd end = mStreamEnd.orElseThrow();
         switch (reply) {
-            case RunMoveProtocol.Stored stored ->
-                    resume(new StoppedRun(stored.handle(), stored.isCopied(), true));
+            case RunMoveProtocol.Stored stored -> resume(stored, true);
             case RunMoveProtocol.Refused refused -> {
                 mAttempt.stopRefused();
                 endOnItsOwn(end, refused.reason());
@@ -176,12 +179,15 @@
     }
 
     private void resumeFromCopy() {
-        resume(new StoppedRun(mCopy.orElseThrow(), true, true));
+        resume(new RunMoveProtocol.Stored(mCopy.orElseThrow(), true), true);
     }
 
-    private void resume(StoppedRun stoppedRun) {
+    private void resume(RunMoveProtocol.Stored stored, boolean isStreamComplete) {
         mPhase = Phase.DONE;
-        mMover.runStopped(mAttempt, mTarget, stoppedRun);
+        mMover.runStopped(
+                mAttempt,
+                mTarget,
+                new StoppedRun(stored.handle(), stored.isCopied(), mCopy, isStreamComplete));
     }
 
     /** Handles a stream that ended in the middle of the move, yet not by it. */
@@ -190,19 +196,13 @@
         end.handler().run();
     }
 
-    /** Gives up the stop: the end of the stream, or any response, would come too late. */
+    /** Gives up a stopped run whose stream has not ended; what follows it would come too late. */
     private void handleExpired() {
         if (mPhase != Phase.STOPPING) {
             return;
         }
-        Optional<RunMoveProtocol.Stored> stored =
-                mStopReply
-                        .filter(RunMoveProtocol.Stored.class::isInstance)
-                        .map(RunMoveProtocol.Stored.class::cast);
-        if (stored.isPresent()) {
-            resume(new StoppedRun(stored.get().handle(), stored.get().isCopied(), false));
-        } else {
-            fail("stop unclear");
+        if (mStopReply.orElse(null) instanceof RunMoveProtocol.Stored stored) {
+            resume(stored, false);
         }
     }
 
@@ -228,7 +228,7 @@
     }
 
     private void schedule(Runnable task, long milliseconds) {
-        mGateway.loop().schedule(task, milliseconds, TimeUnit.MILLISECONDS);
+        mGateway.schedule("move_run", task, milliseconds);
     }
 
     private String targetAddress() {
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMoveCall.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMoveCall.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -57,11 +56,7 @@
                                         BackendConnection.NO_REQUEST_IDENTIFIER,
                                         Long.MAX_VALUE,
                                         moveCall));
-        gateway.loop()
-                .schedule(
-                        () -> moveCall.fail("no response"),
-                        LIFETIME_MILLISECONDS,
-                        TimeUnit.MILLISECONDS);
+        gateway.schedule("end_call", () -> moveCall.fail("no response"), LIFETIME_MILLISECONDS);
     }
 
     @Override
--- a/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
+++ b/gateway/src/main/java/org/ibisstand/gateway/RunMover.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Moves the run behind one stream to another engine, within the same response. Confined to the
@@ -115,9 +114,10 @@
         boolean isTargetReady =
                 target.acceptsRequests()
                         && !target.isLoading(mGateway.now())
+                        && !target.isPaused(mGateway.now())
                         && observed == attempt.scope().weights();
         if (!isTargetReady) {
-            return Optional.of("target leaves or loads");
+            return Optional.of("target leaves, loads or pauses");
         }
         return mGateway.stopsWithin(LONGEST_MOVE_MILLISECONDS)
                 ? Optional.of("gateway stops")
@@ -144,11 +144,17 @@
             return;
         }
         mGateway.metrics().incrementCounter("runs_moved");
-        String runSource = stoppedEngine.address() + "/" + stoppedRun.handle();
+        String source = stoppedEngine.address() + "/";
+        String runSource = source + stoppedRun.handle();
         List<RunResumption.Place> places = new ArrayList<>();
         places.add(new RunResumption.Place(stoppedEngine, runSource, 0));
         if (stoppedRun.isCopied()) {
             places.addFirst(new RunResumption.Place(target, runSource, 0));
+        } else {
+            stoppedRun
+                    .earlierCopy()
+                    .map(copy -> new RunResumption.Place(target, source + copy, 0))
+                    .ifPresent(places::add);
         }
         mResumption = Optional.of(new RunResumption(stoppedEngine, attempt.scope(), places));
         resume("no_server");
@@ -215,11 +221,10 @@
         if (retry.get().pauseMilliseconds() == 0) {
             mForwarder.sendTo(destination);
         } else {
-            mGateway.loop()
-                    .schedule(
-                            () -> mForwarder.sendTo(destination),
-                            retry.get().pauseMilliseconds(),
-                            TimeUnit.MILLISECONDS);
+            mGateway.schedule(
+                    "resume_run",
+                    () -> mForwarder.sendTo(destination),
+                    retry.get().pauseMilliseconds());
         }
     }
 
--- a/gateway/src/test/java/org/ibisstand/gateway/RunMoveTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/RunMoveTest.java
@@ -103,7 +103,7 @@
 
     /** The stream closes as the engine stops the run, before its response or together with it. */
     @ParameterizedTest
-    @CsvSource({"700, 0", "700, 700", "2000, 2000", "3000, 0", "3000, 3000"})
+    @CsvSource({"700, 0", "700, 700", "2000, 2000", "3000, 0", "3000, 3000", "5000, 3700"})
     void aRunWhoseStopIsAnsweredLateResumes(int responseMilliseconds, int streamEndMilliseconds)
             throws Exception {
         startEngines(
