Send the waiting request of a stop test together with the first

The test released the server's response right after it had written the second request, so on a busy machine the gateway could answer the first request before it had read the second, and rightly announced the close.

Both requests are now written at once, so that the second is read before any response can arrive.

--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayStopTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayStopTest.java
@@ -149,21 +149,20 @@
     @EnumSource
     void aRequestBehindAnotherGetsAResponseOfItsOwnWhileTheGatewayStops(FirstRequest first)
             throws IOException {
-        CountDownLatch secondRequestSent = new CountDownLatch(1);
+        CountDownLatch stopping = new CountDownLatch(1);
         startServer(
                 Repetition.ONCE,
                 (request, identifier, connection) -> {
-                    awaitLatch(secondRequestSent);
+                    awaitLatch(stopping);
                     sleep(first.mMilliseconds);
                     completeResponse(200, "x-signature: s\r\n", "served")
                             .respond(request, identifier, connection);
                 });
         try (Socket caller = connect()) {
-            write(caller, HEAD + "\r\n" + BODY);
+            write(caller, (HEAD + "\r\n" + BODY).repeat(2));
             awaitRequest();
             mGateway.drain();
-            write(caller, HEAD + "\r\n" + BODY);
-            secondRequestSent.countDown();
+            stopping.countDown();
 
             String responses = read(caller);
 
