Wait long for runs before a load only while others have spare capacity

An engine waits longer than 0.7 s only while the engines that serve have spare capacity, as the last engine of a version did before. Two cases of drainsLongerWhenRunsCannotBeMovedAndOthersHaveSpareCapacity check it.

--- a/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
+++ b/agent/src/main/java/org/ibisstand/agent/WeightsUpdater.java
@@ -41,8 +41,9 @@
     private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(700);
 
     /**
-     * The maximum wait for runs that cannot be moved; then they are reset. An engine that waited
-     * for its longest runs would serve no new requests for many seconds under load.
+     * The maximum wait for runs that cannot be moved, while the other engines have spare capacity;
+     * then they are reset. An engine that waited for its longest runs would serve no new requests
+     * for many seconds under load.
      */
     private static final Duration MAXIMUM_DRAIN_TIME = Duration.ofMillis(5_000);
 
@@ -241,27 +242,32 @@
         boolean isDrainedTooLong =
                 drainTime.compareTo(MAXIMUM_DRAIN_TIME) >= 0
                         && !isLastEngineOfVersion(model, status);
-        return isOutdatedTooLong || isDrainedTooLong
+        return isOutdatedTooLong || isDrainedTooLong || !haveOthersSpareCapacity()
                 ? Optional.of(RunHandling.RESET)
                 : Optional.empty();
     }
 
+    /** Returns whether the engines that serve now have room for the requests of this one. */
+    private boolean haveOthersSpareCapacity() {
+        return otherServingEngines().stream().allMatch(this::hasSpareCapacity);
+    }
+
+    private List<ServerRecord> otherServingEngines() {
+        return enginesOfService().stream()
+                .filter(engine -> !engine.getAddress().equals(mEngineAddress) && !isLoading(engine))
+                .toList();
+    }
+
     /**
      * Returns whether no other engine that serves now has the loaded version, so that runs cannot
-     * be moved, while at least one has a newer version and all have spare capacity.
+     * be moved, while at least one has a newer version.
      */
     private boolean isLastEngineOfVersion(String model, EngineStatus status) {
         long loaded = status.weights().get(model);
-        List<ServerRecord> servingEngines =
-                enginesOfService().stream()
-                        .filter(
-                                engine ->
-                                        !engine.getAddress().equals(mEngineAddress)
-                                                && !isLoading(engine))
-                        .toList();
+        List<ServerRecord> servingEngines = otherServingEngines();
         return servingEngines.stream().noneMatch(engine -> latestVersion(engine, model) == loaded)
-                && servingEngines.stream().anyMatch(engine -> latestVersion(engine, model) > loaded)
-                && servingEngines.stream().allMatch(this::hasSpareCapacity);
+                && servingEngines.stream()
+                        .anyMatch(engine -> latestVersion(engine, model) > loaded);
     }
 
     /** Returns whether runs use at most half of the engine's KV cache. */
--- a/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
+++ b/agent/src/test/java/org/ibisstand/agent/WeightsUpdaterTest.java
@@ -72,7 +72,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"2, 400, 8000", "2, 600, 5000", "1, 400, 5000"})
+    @CsvSource({"2, 400, 8000", "2, 600, 700", "1, 400, 5000", "1, 600, 700"})
     void drainsLongerWhenRunsCannotBeMovedAndOthersHaveSpareCapacity(
             long othersVersion, long othersTokens, long drainMilliseconds) {
         mEngine.mRunning = 3;
