Show review case 6 with two planned replacements and no window

Cause: a silent voter is removed only while the number of voters is even. With both successors added before the two old members stop, there are five voters, and the two that are gone stay voters for good. The group of three then bears no loss at all, and one lost disk stops it for good.

The script replaces the one with a window of 2 to 3 s after the SIGTERM. Pauses are longer than grace_s, catch_up_s and contact_ms together.

--- a/review/lib-2/PlannedReplacement.java
+++ b/review/lib-2/PlannedReplacements.java
@@ -2,17 +2,17 @@
 import java.util.List;
 
 /**
- * Three members of control, of which one may lose its disk. One is replaced as planned: its
- * successor starts at another address, and it is stopped after the successor has had its time to
- * catch up. Right after the next acknowledgement another member loses its disk. Checks that the
+ * Three members of control, of which one may lose its disk. Two of them are replaced as planned:
+ * both successors start first, and the old members are stopped later, one after the other. Long
+ * after that the third member loses its disk right after an acknowledgement. Checks that the
  * configuration that was acknowledged can be read.
  */
-final class PlannedReplacement {
+final class PlannedReplacements {
     private static final List<Integer> FIRST_MEMBERS = List.of(11, 12, 13);
-    private static final int REPLACED = 11;
-    private static final int LOST = 12;
-    private static final int SUCCESSOR = 14;
-    private static final List<Integer> LAST_MEMBERS = List.of(12, 13, SUCCESSOR);
+    private static final List<Integer> REPLACED = List.of(11, 12);
+    private static final List<Integer> SUCCESSORS = List.of(14, 15);
+    private static final List<Integer> LAST_MEMBERS = List.of(13, 14, 15);
+    private static final int LOST = 13;
 
     private static final String CONFIGURATION =
             "{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\","
@@ -30,10 +30,13 @@
     /** catch_up_s is 4; the rest is margin. */
     private static final long CATCH_UP_MILLISECONDS = 5_000;
 
+    /** After a removal: grace_s of 8, catch_up_s of 4, and contact_ms of 3,000. */
+    private static final long CALM_MILLISECONDS = 16_000;
+
     private static final int RECOVER_SECONDS = 12;
-    private static final int READ_BACK_SECONDS = 50;
+    private static final int READ_BACK_SECONDS = 36;
 
-    private PlannedReplacement() {}
+    private PlannedReplacements() {}
 
     public static void main(String[] arguments) throws Exception {
         String trouble = System.getenv("TROUBLE");
@@ -59,16 +62,10 @@
         if (!deployment.order(FIRST_MEMBERS, "/api/Config.Put", first, "version 7", 10)) {
             return 2;
         }
-        List<Integer> members = FIRST_MEMBERS;
         if (isReplaced) {
-            Deployment.Node successor = deployment.add("control", SUCCESSOR, true, false);
-            successor.mIsAdded = true;
-            deployment.start(successor);
-            Thread.sleep(CATCH_UP_MILLISECONDS);
-            deployment.note("the successor has had its time");
-            deployment.terminate(deployment.node("control-" + REPLACED));
-            members = LAST_MEMBERS;
+            replaceTwo(deployment);
         }
+        List<Integer> members = isReplaced ? LAST_MEMBERS : FIRST_MEMBERS;
         if (!deployment.order(members, "/api/Config.Put", second, "version 12", 5)) {
             return 2;
         }
@@ -82,12 +79,28 @@
         deployment.note("all machines are back");
         boolean isRead = readBack(deployment, members, second);
         for (int member : members) {
-            deployment.noteLog(deployment.node("control-" + member), "event=voters_changed", 2);
+            deployment.noteLog(deployment.node("control-" + member), "event=voters_changed", 3);
             deployment.noteLog(deployment.node("control-" + member), "event=log_status", 1);
         }
         return isRead ? 0 : 1;
     }
 
+    private static void replaceTwo(Deployment deployment) throws Exception {
+        for (int member : SUCCESSORS) {
+            Deployment.Node successor = deployment.add("control", member, true, false);
+            successor.mIsAdded = true;
+            deployment.start(successor);
+            Thread.sleep(CATCH_UP_MILLISECONDS);
+            deployment.note("control-" + member + " has had its time");
+        }
+        for (int member : REPLACED) {
+            deployment.terminate(deployment.node("control-" + member));
+            deployment.setSeeds(LAST_MEMBERS);
+            Thread.sleep(CALM_MILLISECONDS);
+        }
+        deployment.note("both are removed, and no machine is lost");
+    }
+
     private static boolean readBack(
             Deployment deployment, List<Integer> members, String expected)
             throws InterruptedException {
