Keep the members of review case 7 dark for less than 5 s

The default of for_s is 5 s. The changes of the group take 3.3 s from the start of the last darkness.

--- a/review/lib-2/CoreLosses.java
+++ b/review/lib-2/CoreLosses.java
@@ -63,7 +63,7 @@
             deployment.kill(e);
             Thread.sleep(1_000);
             deployment.start(b);
-            Thread.sleep(4_200);
+            Thread.sleep(3_000);
         }
         if (!deployment.order(MEMBERS, "/api/Config.Put", second, "version 12", 5)) {
             deployment.note("version 12 has no acknowledgement");
