--- a/review/lib-2/CoreLosses.java
+++ b/review/lib-2/CoreLosses.java
@@ -61,9 +61,9 @@
             Thread.sleep(3_500);
             deployment.kill(d);
             deployment.kill(e);
-            Thread.sleep(1_000);
+            Thread.sleep(300);
             deployment.start(b);
-            Thread.sleep(3_000);
+            Thread.sleep(4_200);
         }
         if (!deployment.order(MEMBERS, "/api/Config.Put", second, "version 12", 5)) {
             deployment.note("version 12 has no acknowledgement");
