Keep enough voters for the losses that a group was set up to bear

Cause: before the policy gave a ready learner its vote it removed every silent voter, one after the other, and it took any even number of voters for one too many. One member that returned took the votes of two that were away, so that four voters were left. Nothing said how many losses the group was set up for.

Change: the membership carries the names of the members that the group was set up with.

--- a/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
@@ -84,11 +84,9 @@
 
     /** Returns what the member knows about itself and its cluster. */
     public MemberStatus status() {
-        Set<MemberIdentifier> heard = Set.of();
         Set<MemberIdentifier> caughtUp = Set.of();
         Map<MemberIdentifier, Duration> silences = Map.of();
         if (mState.role() instanceof Role.Leader leader) {
-            heard = leader.leadership().membersHeard();
             caughtUp = leader.leadership().membersCaughtUp();
             silences = leader.leadership().silences();
         }
@@ -101,7 +99,6 @@
                 mState.commitIndex(),
                 mState.log().lastIndex(),
                 mState.log().snapshot().map(Snapshot::index).orElse(0L),
-                heard,
                 caughtUp,
                 silences);
     }
--- a/consensus/src/main/java/org/ibisstand/consensus/ContentCodec.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/ContentCodec.java
@@ -87,7 +87,9 @@
 
     private static MembershipMessage toMessage(Membership membership) {
         MembershipMessage.Builder builder =
-                MembershipMessage.newBuilder().setGroup(membership.group());
+                MembershipMessage.newBuilder()
+                        .setGroup(membership.group())
+                        .addAllEstablished(membership.established());
         for (Member member : membership.members().values()) {
             builder.addMembers(
                     MemberRecord.newBuilder()
@@ -108,7 +110,7 @@
                                                 member.getAddress(),
                                                 member.getVoting()))
                         .toList();
-        return Membership.of(members, message.getGroup());
+        return Membership.of(members, message.getGroup(), message.getEstablishedList());
     }
 
     private static IbisstandException damaged(String what, Exception cause) {
--- a/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Leadership.java
@@ -171,14 +171,6 @@
                 .min();
     }
 
-    /** Returns the members that have answered in this term. */
-    Set<MemberIdentifier> membersHeard() {
-        return mProgress.entrySet().stream()
-                .filter(entry -> entry.getValue().hasAnswered())
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
-    }
-
     /** Returns for each other member how long it has not answered. */
     Map<MemberIdentifier, Duration> silences() {
         Map<MemberIdentifier, Duration> silences = new HashMap<>();
--- a/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
@@ -16,7 +16,6 @@
  * @param commitIndex the last entry known to be committed
  * @param lastIndex the last entry of its log
  * @param snapshotIndex the last entry that its snapshot covers
- * @param heard for a leader: the members that have answered it in its term
  * @param caughtUp for a leader: the members that follow closely enough to get a vote
  * @param silences for a leader: the time since each other member answered, or since the leader's
  *     term began or the member was added if that is shorter
@@ -30,6 +29,5 @@
         long commitIndex,
         long lastIndex,
         long snapshotIndex,
-        Set<MemberIdentifier> heard,
         Set<MemberIdentifier> caughtUp,
         Map<MemberIdentifier, Duration> silences) {}
--- a/consensus/src/main/java/org/ibisstand/consensus/MembershipChange.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MembershipChange.java
@@ -7,8 +7,11 @@
      *
      * @param member the new member and its disk
      * @param address where the other members reach it
+     * @param established whether the group is meant to be larger by this member; false for one that
+     *     replaces another one
      */
-    record AddLearner(MemberIdentifier member, String address) implements MembershipChange {}
+    record AddLearner(MemberIdentifier member, String address, boolean established)
+            implements MembershipChange {}
 
     /**
      * Gives a learner that has caught up its vote.
@@ -18,9 +21,16 @@
     record Promote(MemberIdentifier member) implements MembershipChange {}
 
     /**
-     * Removes a member for good.
+     * Removes a member for good. The group is meant to have another one in its place.
      *
      * @param member the learner or voter to remove
      */
     record Remove(MemberIdentifier member) implements MembershipChange {}
+
+    /**
+     * Removes a member for good, without a successor.
+     *
+     * @param member the learner or voter to remove
+     */
+    record Decommission(MemberIdentifier member) implements MembershipChange {}
 }
--- a/consensus/src/main/java/org/ibisstand/consensus/MembershipChangePlan.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MembershipChangePlan.java
@@ -37,7 +37,14 @@
         return switch (change) {
             case MembershipChange.AddLearner add -> addLearner(add, present);
             case MembershipChange.Promote promote -> promote(promote.member(), present, caughtUp);
-            case MembershipChange.Remove remove -> remove(remove.member(), present, inContact);
+            case MembershipChange.Remove remove ->
+                    remove(remove.member(), present, present, inContact);
+            case MembershipChange.Decommission removal ->
+                    remove(
+                            removal.member(),
+                            present,
+                            present.abolishing(removal.member().name()),
+                            inContact);
         };
     }
 
@@ -46,7 +53,8 @@
         if (present.member(add.member()).isPresent()) {
             return new Unchanged();
         }
-        return new Apply(present.with(new Member(add.member(), add.address(), false)));
+        Membership changed = present.with(new Member(add.member(), add.address(), false));
+        return new Apply(add.established() ? changed.establishing(add.member().name()) : changed);
     }
 
     private static MembershipChangePlan promote(
@@ -65,11 +73,14 @@
     }
 
     private static MembershipChangePlan remove(
-            MemberIdentifier member, Membership present, Set<MemberIdentifier> inContact) {
+            MemberIdentifier member,
+            Membership present,
+            Membership changed,
+            Set<MemberIdentifier> inContact) {
         if (present.member(member).isEmpty()) {
             return new Unchanged();
         }
-        Membership remaining = present.without(member);
+        Membership remaining = changed.without(member);
         if (remaining.voters().isEmpty()) {
             return new Refuse(member + " is the last voting member");
         }
--- a/consensus/src/main/java/org/ibisstand/consensus/Progress.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/Progress.java
@@ -9,7 +9,6 @@
     private long mNextIndex;
     private boolean mProbing = true;
     private Instant mLastContact;
-    private boolean mAnswered;
     private long mRound;
     private long mSnapshotIndex;
     private int mSnapshotOffset;
@@ -40,11 +39,6 @@
         return mLastContact;
     }
 
-    /** Returns whether the member has answered the leader in its term. */
-    boolean hasAnswered() {
-        return mAnswered;
-    }
-
     /** Returns the newest round in which the member followed the leader. */
     long round() {
         return mRound;
@@ -66,7 +60,6 @@
 
     void contacted(Instant now, long round) {
         mLastContact = now;
-        mAnswered = true;
         mRound = Math.max(mRound, round);
     }
 
--- a/control/src/main/java/org/ibisstand/control/ControlRoutes.java
+++ b/control/src/main/java/org/ibisstand/control/ControlRoutes.java
@@ -142,7 +142,10 @@
         Address address = Address.parse(request.requireParameter("address"));
         LogMember member =
                 new LogMember(request.requireParameter(MEMBER), address.toString(), false);
-        return mComponents.log().addMember(member).thenApply(done -> ok(MAPPER.createObjectNode()));
+        return mComponents
+                .log()
+                .addMember(member, true)
+                .thenApply(done -> ok(MAPPER.createObjectNode()));
     }
 
     private CompletableFuture<AdministrationResponse> removeMember(AdministrationRequest request) {
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -250,8 +250,10 @@
                 .with("member", request.getMember())
                 .with("address", request.getAddress())
                 .with("replaces", isReplacement)
+                .with("first_start", request.getFirstStart())
                 .write();
-        mLog.addMember(new LogMember(request.getMember(), request.getAddress(), false))
+        LogMember member = new LogMember(request.getMember(), request.getAddress(), false);
+        mLog.addMember(member, request.getFirstStart())
                 .whenComplete((done, failure) -> finishJoin(request.getMember(), failure));
     }
 
@@ -263,7 +265,7 @@
         mDirectory.tick(now);
         if (mayBeOutsideGroup(status) && !now.isBefore(mNextJoinTime)) {
             mNextJoinTime = now.plus(JOIN_INTERVAL);
-            mPeers.requestJoin(mSettings.member(), mAddress);
+            mPeers.requestJoin(mSettings.member(), mAddress, mSettings.firstStart());
         }
         if (mState.routing().version() != mLoggedRoutingVersion) {
             mLoggedRoutingVersion = mState.routing().version();
--- a/control/src/main/java/org/ibisstand/control/FleetPeers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetPeers.java
@@ -53,9 +53,13 @@
     }
 
     /** Asks all members to add this one to the group; only the leader acts on it. */
-    void requestJoin(String member, String address) {
+    void requestJoin(String member, String address, boolean isFirstStart) {
         JoinRequest request =
-                JoinRequest.newBuilder().setMember(member).setAddress(address).build();
+                JoinRequest.newBuilder()
+                        .setMember(member)
+                        .setAddress(address)
+                        .setFirstStart(isFirstStart)
+                        .build();
         sendToAll(Frame.newBuilder().setJoinRequest(request).build());
     }
 
--- a/control/src/main/java/org/ibisstand/control/GroupFormation.java
+++ b/control/src/main/java/org/ibisstand/control/GroupFormation.java
@@ -80,7 +80,7 @@
             members.add(received.get().toVoter());
         }
         // The identity of a data folder is drawn at random, and a folder forms a group only once.
-        return Optional.of(Membership.of(members, mSelf.identifier().value()));
+        return Optional.of(Membership.form(members, mSelf.identifier().value()));
     }
 
     private boolean isRecentAndAgrees(ReceivedIntroduction received, Instant now) {
--- a/control/src/main/java/org/ibisstand/control/Log.java
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -36,12 +36,14 @@
      * Adds a member as a learner and promotes it to a voter once it has caught up.
      *
      * @param member the new member, with an identity that was never used before
+     * @param established whether the group is meant to be larger by this member; false for one that
+     *     replaces another one
      */
-    CompletableFuture<Void> addMember(LogMember member);
+    CompletableFuture<Void> addMember(LogMember member, boolean established);
 
     /**
-     * Removes a member; the change is committed once a quorum of the remaining members has it on
-     * disk.
+     * Removes a member without a successor; the change is committed once a quorum of the remaining
+     * members has it on disk.
      *
      * @param name the name of the member to remove, with or without its identity
      */
--- a/control/src/main/java/org/ibisstand/control/MemberAddition.java
+++ b/control/src/main/java/org/ibisstand/control/MemberAddition.java
@@ -22,13 +22,22 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     private final LogMember mMember;
+    private final boolean mEstablished;
     private final Instant mDeadline;
     private final CompletableFuture<Void> mDone = new CompletableFuture<>();
     private Optional<MemberIdentifier> mIdentifier = Optional.empty();
     private boolean mChangePending;
 
-    MemberAddition(LogMember member, Instant now) {
+    /**
+     * Starts an addition.
+     *
+     * @param member the member to add
+     * @param established whether the group is meant to be larger by this member
+     * @param now the current time
+     */
+    MemberAddition(LogMember member, boolean established, Instant now) {
         mMember = member;
+        mEstablished = established;
         mDeadline = now.plus(TIMEOUT);
     }
 
@@ -101,7 +110,7 @@
         } else if (status.membership().member(member).isEmpty() && !mChangePending) {
             mChangePending = true;
             changeMembership
-                    .apply(new MembershipChange.AddLearner(member, mMember.address()))
+                    .apply(new MembershipChange.AddLearner(member, mMember.address(), mEstablished))
                     .whenComplete((result, failure) -> changed(failure));
         }
     }
--- a/control/src/main/java/org/ibisstand/control/MemberDiscovery.java
+++ b/control/src/main/java/org/ibisstand/control/MemberDiscovery.java
@@ -55,8 +55,8 @@
         return mFormation.membershipToForm(now);
     }
 
-    CompletableFuture<Void> addMember(LogMember member, Instant now) {
-        MemberAddition addition = new MemberAddition(member, now);
+    CompletableFuture<Void> addMember(LogMember member, boolean established, Instant now) {
+        MemberAddition addition = new MemberAddition(member, established, now);
         mAdditions.add(addition);
         return addition.done();
     }
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -66,7 +66,7 @@
     private final MemberDiscovery mDiscovery;
     private final PendingRequests mPendingRequests = new PendingRequests();
     private final RequestBatcher mBatcher;
-    private final VoterPolicy mVoterPolicy;
+    private final VoterChanges mVoterChanges;
     private final ScheduledFuture<?> mTickTask;
     private Membership mMembership;
     private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
@@ -75,8 +75,6 @@
     private Optional<IbisstandException> mFailure = Optional.empty();
     private boolean mIsDurable;
     private long mAppliedIndex;
-    private Optional<MembershipChange> mPendingVoterChange = Optional.empty();
-    private Optional<MembershipChange> mRefusedVoterChange = Optional.empty();
     private long mBytesSinceSnapshot;
 
     private ReplicatedLog(StateMachine stateMachine, LogContext context, OpenedLog opened) {
@@ -107,7 +105,11 @@
                 new MemberDiscovery(
                         new GroupFormation(settings, mSelf, context.address()), mConnections);
         mBatcher = new RequestBatcher(context.controlThread(), mPendingRequests, this::step);
-        mVoterPolicy = voterPolicy(settings.timing());
+        mVoterChanges =
+                new VoterChanges(
+                        voterPolicy(settings.timing()),
+                        this::changeMembership,
+                        () -> mMembership.voters());
         long tickMilliseconds = settings.timing().heartbeatMilliseconds() / TICKS_PER_HEARTBEAT;
         mTickTask =
                 context.controlThread()
@@ -211,12 +213,12 @@
     }
 
     @Override
-    public CompletableFuture<Void> addMember(LogMember member) {
+    public CompletableFuture<Void> addMember(LogMember member, boolean established) {
         Optional<IbisstandException> refusal = refusal();
         if (refusal.isPresent()) {
             return CompletableFuture.failedFuture(refusal.get());
         }
-        CompletableFuture<Void> done = mDiscovery.addMember(member, now());
+        CompletableFuture<Void> done = mDiscovery.addMember(member, established, now());
         mDiscovery.tickAdditions(mConsensus.status(), now(), this::changeMembership);
         return done;
     }
@@ -239,7 +241,8 @@
         }
         MemberIdentifier member =
                 matches.isEmpty() ? new MemberIdentifier(name) : matches.getFirst();
-        return changeMembership(new MembershipChange.Remove(member)).thenApply(result -> null);
+        return changeMembership(new MembershipChange.Decommission(member))
+                .thenApply(result -> null);
     }
 
     @Override
@@ -304,43 +307,10 @@
             MemberStatus status = mConsensus.status();
             mDiscovery.findGroupToForm(status, now()).ifPresent(this::formGroup);
             mDiscovery.tickAdditions(status, now(), this::changeMembership);
-            changeVotersIfDue(status);
+            mVoterChanges.tick(status);
         }
     }
 
-    private void changeVotersIfDue(MemberStatus status) {
-        if (!status.leading() || mPendingVoterChange.isPresent()) {
-            return;
-        }
-        mPendingVoterChange = mVoterPolicy.nextChange(status);
-        mPendingVoterChange.ifPresent(
-                change ->
-                        changeMembership(change)
-                                .whenComplete((result, failure) -> votersChanged(change, failure)));
-    }
-
-    /**
-     * Forgets the change; the policy asks again for one that failed if it is still due. Logs a
-     * change that fails again and again once.
-     */
-    private void votersChanged(MembershipChange change, Throwable failure) {
-        mPendingVoterChange = Optional.empty();
-        boolean wasLogged = failure != null && mRefusedVoterChange.equals(Optional.of(change));
-        mRefusedVoterChange = failure == null ? Optional.empty() : Optional.of(change);
-        if (wasLogged) {
-            return;
-        }
-        LogLine line =
-                failure == null
-                        ? LogLine.info("voters_changed")
-                        : LogLine.warning("voters_not_changed")
-                                .with("reason", failure.getMessage());
-        line.with("member", mSelf)
-                .with("change", change)
-                .with("voters", mMembership.voters())
-                .write();
-    }
-
     private void formGroup(Membership membership) {
         Logger.info("event=group_formed members={}", membership.members().keySet());
         step(new Input.Form(membership, mStateMachine.snapshot()));
--- a/control/src/main/java/org/ibisstand/control/SingleMemberLog.java
+++ b/control/src/main/java/org/ibisstand/control/SingleMemberLog.java
@@ -50,7 +50,7 @@
     }
 
     @Override
-    public CompletableFuture<Void> addMember(LogMember member) {
+    public CompletableFuture<Void> addMember(LogMember member, boolean established) {
         return refuseChange();
     }
 
--- /dev/null
+++ b/control/src/main/java/org/ibisstand/control/VoterChanges.java
@@ -0,0 +1,74 @@
+package org.ibisstand.control;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.ibisstand.base.LogLine;
+import org.ibisstand.consensus.MemberIdentifier;
+import org.ibisstand.consensus.MemberStatus;
+import org.ibisstand.consensus.MembershipChange;
+import org.ibisstand.consensus.VoterPolicy;
+
+/**
+ * Starts the changes that a {@link VoterPolicy} asks for, one at a time; used on the control
+ * thread.
+ */
+final class VoterChanges {
+    private final VoterPolicy mPolicy;
+    private final Function<MembershipChange, CompletableFuture<byte[]>> mChangeMembership;
+    private final Supplier<Set<MemberIdentifier>> mVoters;
+    private Optional<MembershipChange> mPending = Optional.empty();
+    private Optional<MembershipChange> mRefused = Optional.empty();
+
+    /**
+     * Creates the changes of one member.
+     *
+     * @param policy decides about them
+     * @param changeMembership starts a change of the members
+     * @param voters returns the present voters, for the log
+     */
+    VoterChanges(
+            VoterPolicy policy,
+            Function<MembershipChange, CompletableFuture<byte[]>> changeMembership,
+            Supplier<Set<MemberIdentifier>> voters) {
+        mPolicy = policy;
+        mChangeMembership = changeMembership;
+        mVoters = voters;
+    }
+
+    /** Starts the next change if this member leads and one is due. */
+    void tick(MemberStatus status) {
+        if (!status.leading() || mPending.isPresent()) {
+            return;
+        }
+        mPending = mPolicy.nextChange(status);
+        mPending.ifPresent(
+                change ->
+                        mChangeMembership
+                                .apply(change)
+                                .whenComplete(
+                                        (result, failure) ->
+                                                finish(status.self(), change, failure)));
+    }
+
+    /**
+     * Forgets the change; the policy asks again for one that failed if it is still due. Logs a
+     * change that fails again and again once.
+     */
+    private void finish(MemberIdentifier self, MembershipChange change, Throwable failure) {
+        mPending = Optional.empty();
+        boolean wasLogged = failure != null && mRefused.equals(Optional.of(change));
+        mRefused = failure == null ? Optional.empty() : Optional.of(change);
+        if (wasLogged) {
+            return;
+        }
+        LogLine line =
+                failure == null
+                        ? LogLine.info("voters_changed")
+                        : LogLine.warning("voters_not_changed")
+                                .with("reason", failure.getMessage());
+        line.with("member", self).with("change", change).with("voters", mVoters.get()).write();
+    }
+}
--- a/control/src/test/java/org/ibisstand/control/CrashReportRelayTest.java
+++ b/control/src/test/java/org/ibisstand/control/CrashReportRelayTest.java
@@ -251,6 +251,7 @@
                 mFolder.resolve("member-" + member).toString(),
                 members,
                 false,
+                false,
                 new ControlSettings.Limits(1_000, 1 << 20, 1, 2),
                 new ControlSettings.Timing(600, 100, 3_600_000, 30_000, 1_000, 0));
     }
--- a/control/src/test/java/org/ibisstand/control/LargeConfigurationLoad.java
+++ b/control/src/test/java/org/ibisstand/control/LargeConfigurationLoad.java
@@ -77,6 +77,7 @@
                 folder.toString(),
                 List.of(new ControlSettings.Member("member-1", address)),
                 false,
+                false,
                 new ControlSettings.Limits(1_000, 8 << 20, 1, 2),
                 new ControlSettings.Timing(800, 150, 3_600_000, 30_000, 1_000, 2_000));
     }
--- a/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
+++ b/faults/src/test/java/org/ibisstand/faults/GatewaySamples.java
@@ -97,6 +97,7 @@
                 folder.resolve("data").toString(),
                 List.of(new ControlSettings.Member("member-1", new Address(HOST, wirePort))),
                 false,
+                false,
                 new ControlSettings.Limits(1_000, 1 << 20, 1, 2),
                 new ControlSettings.Timing(
                         600, 100, 3_600_000, 30_000, ANNOUNCEMENT_MILLISECONDS, 0));
--- a/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
+++ b/settings/src/main/java/org/ibisstand/settings/ControlSettings.java
@@ -13,6 +13,8 @@
  * @param dataFolder the folder of the log and the snapshots
  * @param members the members that the group starts with; the log decides later ones
  * @param join whether this member joins a group that runs already, instead of starting one
+ * @param firstStart whether the group starts for the first time; a member that joins it then
+ *     replaces no other one, so the group keeps enough voters for one member more
  * @param limits how much the member keeps
  * @param timing how long the member waits
  */
@@ -24,6 +26,7 @@
         @Form(TextForm.FOLDER) String dataFolder,
         @Range(from = 1, to = 7) List<Member> members,
         boolean join,
+        boolean firstStart,
         Limits limits,
         Timing timing) {
     /** Copies the list, so that settings never change. */
