Keep the known members of control until a newer list lacks them

Cause: FleetFollower closed the connections to all members that the updates at hand did not name. When all connections were lost at once, the first update came from a member with an empty disk, which names no members, and the gateway dropped the three that still had the configuration.

Change: updates carry the last entry of the log that their list of members was taken from. A follower keeps the newest list; one without members, or from an older log, is no news. Gateways and agents share the follower.

--- a/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/ConsensusMember.java
@@ -98,6 +98,7 @@
                 mState.log().membership(),
                 mState.commitIndex(),
                 mState.log().lastIndex(),
+                mState.log().lastTerm(),
                 mState.log().snapshot().map(Snapshot::index).orElse(0L),
                 caughtUp,
                 silences);
--- a/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/MemberStatus.java
@@ -15,6 +15,7 @@
  * @param membership the members after the last entry of its log
  * @param commitIndex the last entry known to be committed
  * @param lastIndex the last entry of its log
+ * @param lastTerm the term of that entry
  * @param snapshotIndex the last entry that its snapshot covers
  * @param caughtUp for a leader: the members that follow closely enough to get a vote
  * @param silences for a leader: the time since each other member answered, or since the leader's
@@ -28,6 +29,7 @@
         Membership membership,
         long commitIndex,
         long lastIndex,
+        long lastTerm,
         long snapshotIndex,
         Set<MemberIdentifier> caughtUp,
         Map<MemberIdentifier, Duration> silences) {}
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySearchTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySearchTest.java
@@ -306,6 +306,7 @@
                 Membership.of(members, "group", established),
                 COMMITTED,
                 COMMITTED,
+                1,
                 0,
                 caughtUp,
                 silences);
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicyTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicyTest.java
@@ -275,6 +275,7 @@
                 Membership.of(mMembers, "group", mEstablished),
                 COMMITTED,
                 COMMITTED,
+                1,
                 0,
                 mCaughtUp,
                 mSilences);
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -83,7 +83,7 @@
         mAddress = address;
         Duration interval = Duration.ofMillis(settings.timing().announcementMilliseconds());
         mDirectory = ServerDirectory.create(interval, clock.instant());
-        mWatchers = new FleetWatchers(state, mDirectory, this::memberAddresses, clock);
+        mWatchers = new FleetWatchers(state, mDirectory, () -> mLog.status().memberList(), clock);
         mPeers = new FleetPeers(wire, controlThread, this::framesForNewPeer);
         mCrashReports =
                 new CrashReportRelay(
--- a/control/src/main/java/org/ibisstand/control/FleetWatchers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetWatchers.java
@@ -3,10 +3,11 @@
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.ibisstand.fleet.MemberList;
 import org.ibisstand.wire.WireConnection;
 import org.ibisstand.wire.message.EngineNotices;
 import org.ibisstand.wire.message.FleetUpdate;
@@ -29,7 +30,7 @@
 
     private final ControlState mState;
     private final ServerDirectory mDirectory;
-    private final Supplier<List<String>> mMemberAddresses;
+    private final Supplier<MemberList> mMembers;
     private final Clock mClock;
     private final Map<WireConnection, SentState> mWatchers = new LinkedHashMap<>();
     private final AtomicLong mUnwrittenBytes = new AtomicLong();
@@ -37,11 +38,11 @@
     FleetWatchers(
             ControlState state,
             ServerDirectory directory,
-            Supplier<List<String>> memberAddresses,
+            Supplier<MemberList> members,
             Clock clock) {
         mState = state;
         mDirectory = directory;
-        mMemberAddresses = memberAddresses;
+        mMembers = members;
         mClock = clock;
     }
 
@@ -55,7 +56,7 @@
                         watch.getRoutingVersion(),
                         0,
                         0,
-                        List.of(),
+                        Set.of(),
                         0,
                         false));
         flush();
@@ -67,7 +68,7 @@
 
     /** Sends each watcher the changes since its last update. */
     void flush() {
-        List<String> members = mMemberAddresses.get();
+        MemberList members = mMembers.get();
         int entries = (int) mWatchers.values().stream().filter(SentState::isEntry).count();
         boolean isComplete = mDirectory.isComplete(mClock.instant());
         Map<UpdateKey, FleetUpdate> updates = new HashMap<>();
@@ -80,7 +81,7 @@
                                     Math.max(sent.routingVersion(), mState.routing().version()),
                                     mDirectory.revision(),
                                     mState.routing().weights().hashCode(),
-                                    members,
+                                    members.addresses(),
                                     entries,
                                     isComplete);
                     if (current.equals(sent)
@@ -90,7 +91,7 @@
                     }
                     FleetUpdate update =
                             updates.computeIfAbsent(
-                                    sent.updateKey(), key -> createUpdate(key, current));
+                                    sent.updateKey(), key -> createUpdate(key, current, members));
                     send(connection, current.correlation(), update);
                     return current;
                 });
@@ -117,12 +118,14 @@
     }
 
     /** Builds the update for all watchers with the same key. */
-    private FleetUpdate createUpdate(UpdateKey key, SentState current) {
+    private FleetUpdate createUpdate(UpdateKey key, SentState current, MemberList members) {
         FleetUpdate.Builder update =
                 FleetUpdate.newBuilder()
                         .setRoutingVersion(mState.routing().version())
                         .putAllWeights(mState.routing().weights())
-                        .addAllMembers(current.members())
+                        .addAllMembers(members.addresses())
+                        .setMembersTerm(members.term())
+                        .setMembersIndex(members.index())
                         .setEntries(current.entries())
                         .setComplete(current.isComplete());
         if (mDirectory.canListChangesSince(key.directoryRevision())) {
@@ -149,7 +152,7 @@
             long routingVersion,
             long directoryRevision,
             int weightsHash,
-            List<String> members,
+            Set<String> members,
             int entries,
             boolean isComplete) {
         UpdateKey updateKey() {
--- a/control/src/main/java/org/ibisstand/control/SingleMemberLog.java
+++ b/control/src/main/java/org/ibisstand/control/SingleMemberLog.java
@@ -46,6 +46,8 @@
                 Optional.of(mMember.address()),
                 mAppliedIndex,
                 mAppliedIndex,
+                mAppliedIndex,
+                1,
                 List.of(mMember));
     }
 
--- a/control/src/main/java/org/ibisstand/control/StatusConverter.java
+++ b/control/src/main/java/org/ibisstand/control/StatusConverter.java
@@ -24,6 +24,8 @@
                 status.leader().flatMap(status.membership()::member).map(Member::address),
                 status.commitIndex(),
                 appliedIndex,
+                status.lastIndex(),
+                status.lastTerm(),
                 members);
     }
 
--- a/control/src/test/java/org/ibisstand/control/SteeredLog.java
+++ b/control/src/test/java/org/ibisstand/control/SteeredLog.java
@@ -74,6 +74,8 @@
                 status.leaderAddress(),
                 status.committedIndex(),
                 status.appliedIndex(),
+                status.lastIndex(),
+                status.lastTerm(),
                 status.members());
     }
 
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -32,9 +32,11 @@
 import org.ibisstand.wire.message.ServerRecord;
 
 /**
- * Watches all members of control that are known, and keeps one state joined from what they tell.
- * The version of the routing configuration never goes back, whoever sends it; when no member can be
- * reached, the last state stays in force.
+ * Watches all members of control that are known, and keeps one state joined from what they tell. A
+ * member is forgotten only when a newer list lacks it: all connections may be lost at once, and the
+ * first member that answers may know no other one, or only those of long ago. The version of the
+ * routing configuration never goes back, whoever sends it; when no member can be reached, the last
+ * state stays in force.
  */
 public final class FleetFollower implements AutoCloseable {
     /**
@@ -53,6 +55,7 @@
     private final Map<WireConnection, FleetUpdate> mUpdates = new HashMap<>();
     private int mEntries = INITIAL_ENTRIES;
     private Set<String> mSeeds = Set.of();
+    private MemberList mKnownMembers = MemberList.NONE;
     private List<ServerRecord> mServers = List.of();
     private Map<String, Long> mWeights = Map.of();
     private Optional<RoutingConfiguration> mRouting = Optional.empty();
@@ -160,7 +163,7 @@
 
     private void connect() {
         Set<String> wanted = new HashSet<>(mSeeds);
-        mUpdates.values().forEach(update -> wanted.addAll(update.getMembersList()));
+        wanted.addAll(mKnownMembers.addresses());
         mClients.entrySet().removeIf(client -> closeUnless(wanted, client));
         wanted.forEach(address -> mClients.computeIfAbsent(address, this::open));
         if (!mMembers.equals(mClients)) {
@@ -206,6 +209,7 @@
             return;
         }
         takeRouting(update);
+        takeMembers(MemberList.of(update));
         FleetUpdate before = mUpdates.getOrDefault(connection, FleetUpdate.getDefaultInstance());
         mUpdates.put(
                 connection, FleetMerge.joined(before, update.toBuilder().clearRouting().build()));
@@ -216,6 +220,19 @@
         mListener.accept(new FleetState(mRouting, mWeights, mServers, Math.max(1, entries)));
     }
 
+    private void takeMembers(MemberList heard) {
+        MemberList before = mKnownMembers;
+        mKnownMembers = before.updatedBy(heard);
+        if (!mKnownMembers.addresses().equals(before.addresses())) {
+            LogLine.info("members_known")
+                    .with("members", mKnownMembers.addresses())
+                    .with("term", mKnownMembers.term())
+                    .with("index", mKnownMembers.index())
+                    .with("before", before.addresses())
+                    .write();
+        }
+    }
+
     private void takeRouting(FleetUpdate update) {
         long known = mRouting.map(RoutingConfiguration::version).orElse(0L);
         if (mReader.isEmpty()
