Exchange the list of members among all processes of control

Cause: a process knew other members only from its seeds. Members with empty disks asked each other. Control without a disk listened for operators only, and redirected them to its own seeds. The members with the log called the lost ones at the addresses in it, but never told them of the group.

Change: members tell all members in their log and all seeds their list, with the log entry that it was taken from; who knows a newer one answers with it. A member with an empty disk asks those that it hears of. Members read changed seeds at once.

--- a/control/src/main/java/org/ibisstand/control/ControlService.java
+++ b/control/src/main/java/org/ibisstand/control/ControlService.java
@@ -77,6 +77,8 @@
                     mComponents
                             .fleet()
                             .watch(connection, frame.getCorrelation(), frame.getFleetWatch());
+            case MEMBER_NOTICE ->
+                    mComponents.fleet().receiveMemberNotice(connection, frame.getMemberNotice());
             case SERVER_NOTICE -> mComponents.fleet().receiveServerNotice(frame.getServerNotice());
             case ENGINE_NOTICES ->
                     mComponents.fleet().receiveEngineNotices(frame.getEngineNotices());
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,6 +31,7 @@
 import org.ibisstand.wire.message.FleetWatch;
 import org.ibisstand.wire.message.Frame;
 import org.ibisstand.wire.message.JoinRequest;
+import org.ibisstand.wire.message.MemberNotice;
 import org.ibisstand.wire.message.ServerNotice;
 import org.ibisstand.wire.message.ServerRecord;
 
@@ -52,6 +54,7 @@
     private final ServerDirectory mDirectory;
     private final FleetWatchers mWatchers;
     private final FleetPeers mPeers;
+    private final MemberExchange mMembers;
     private final CrashReportRelay mCrashReports;
     private final String mAddress;
     private final Map<String, EngineNotice> mPendingNotices = new HashMap<>();
@@ -83,8 +86,15 @@
         mAddress = address;
         Duration interval = Duration.ofMillis(settings.timing().announcementMilliseconds());
         mDirectory = ServerDirectory.create(interval, clock.instant());
-        mWatchers = new FleetWatchers(state, mDirectory, () -> mLog.status().memberList(), clock);
-        mPeers = new FleetPeers(wire, controlThread, this::framesForNewPeer);
+        mPeers = new FleetPeers(wire, controlThread, this::framesForNewPeer, this::receiveFromPeer);
+        mMembers =
+                new MemberExchange(
+                        mPeers,
+                        () -> mLog.status().memberList(),
+                        mAddress,
+                        settings.members().stream().map(one -> one.address().toString()).toList(),
+                        clock);
+        mWatchers = new FleetWatchers(state, mDirectory, mMembers::known, clock);
         mCrashReports =
                 new CrashReportRelay(
                         notices -> mPeers.broadcast(Frame.newBuilder().setEngineNotices(notices)),
@@ -174,6 +184,14 @@
                 () -> CompletableFuture.completedFuture(mCrashReports.notices()));
     }
 
+    /**
+     * Replaces the wire addresses of the settings, from which a member that lost its disk starts,
+     * and to which the other members tell of the group.
+     */
+    public void follow(Collection<String> seeds) {
+        mControlThread.execute(() -> mMembers.follow(seeds));
+    }
+
     /** Returns the wire address of the leader while this member knows one. */
     public Optional<String> leaderAddress() {
         return mLeaderAddress;
@@ -224,6 +242,10 @@
         }
     }
 
+    void receiveMemberNotice(WireConnection connection, MemberNotice notice) {
+        mMembers.receive(connection, notice);
+    }
+
     void receiveServerNotice(ServerNotice notice) {
         notice.getServersList().forEach(record -> updateServer(record, false));
     }
@@ -261,7 +283,7 @@
         Instant now = mClock.instant();
         LogStatus status = mLog.status();
         mLeaderAddress = status.leads() ? Optional.of(mAddress) : status.leaderAddress();
-        mPeers.connectTo(peerAddresses(status));
+        mMembers.tick();
         mDirectory.tick(now);
         if (mayBeOutsideGroup(status) && !now.isBefore(mNextJoinTime)) {
             mNextJoinTime = now.plus(JOIN_INTERVAL);
@@ -307,12 +329,18 @@
         }
     }
 
-    private List<Frame> framesForNewPeer() {
+    private List<Frame.Builder> framesForNewPeer() {
         ServerNotice servers =
                 ServerNotice.newBuilder().addAllServers(mDirectory.records()).build();
         return List.of(
-                Frame.newBuilder().setServerNotice(servers).build(),
-                Frame.newBuilder().setEngineNotices(mCrashReports.notices()).build());
+                Frame.newBuilder().setServerNotice(servers),
+                Frame.newBuilder().setEngineNotices(mCrashReports.notices()));
+    }
+
+    private void receiveFromPeer(WireConnection connection, Frame frame) {
+        if (frame.hasMemberNotice()) {
+            receiveMemberNotice(connection, frame.getMemberNotice());
+        }
     }
 
     private void finishJoin(String member, Throwable failure) {
@@ -367,14 +395,4 @@
     private List<String> memberAddresses() {
         return mLog.status().members().stream().map(LogMember::address).sorted().toList();
     }
-
-    private Set<String> peerAddresses(LogStatus status) {
-        Set<String> addresses = new HashSet<>();
-        status.members().forEach(member -> addresses.add(member.address()));
-        if (status.members().isEmpty()) {
-            mSettings.members().forEach(member -> addresses.add(member.address().toString()));
-        }
-        addresses.remove(mAddress);
-        return addresses;
-    }
 }
--- a/control/src/main/java/org/ibisstand/control/FleetPeers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetPeers.java
@@ -2,12 +2,15 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.ibisstand.settings.Address;
 import org.ibisstand.wire.FrameHandler;
 import org.ibisstand.wire.WireClient;
@@ -24,17 +27,39 @@
 final class FleetPeers implements AutoCloseable {
     private final WireContext mContext;
     private final Executor mControlThread;
-    private final Supplier<List<Frame>> mInitialFrames;
+    private final Supplier<List<Frame.Builder>> mInitialFrames;
+    private final BiConsumer<WireConnection, Frame> mReceiver;
     private final Map<String, WireClient> mClients = new HashMap<>();
+    private Set<String> mMembers = Set.of();
 
-    FleetPeers(WireContext context, Executor controlThread, Supplier<List<Frame>> initialFrames) {
+    /**
+     * Creates peers without connections.
+     *
+     * @param context what the connections share
+     * @param controlThread runs the callbacks
+     * @param initialFrames returns what a member is told first
+     * @param receiver receives what peers answer
+     */
+    FleetPeers(
+            WireContext context,
+            Executor controlThread,
+            Supplier<List<Frame.Builder>> initialFrames,
+            BiConsumer<WireConnection, Frame> receiver) {
         mContext = context;
         mControlThread = controlThread;
         mInitialFrames = initialFrames;
+        mReceiver = receiver;
     }
 
-    /** Connects to the given addresses and closes all other connections. */
-    void connectTo(Set<String> addresses) {
+    /**
+     * Connects to the given addresses and closes all other connections.
+     *
+     * @param members the other members
+     * @param others further processes of control, which may be no members
+     */
+    void connectTo(Set<String> members, Set<String> others) {
+        Set<String> addresses = new HashSet<>(members);
+        addresses.addAll(others);
         mClients.entrySet()
                 .removeIf(
                         client -> {
@@ -45,11 +70,29 @@
                             return isRemoved;
                         });
         addresses.forEach(address -> mClients.computeIfAbsent(address, this::connect));
+        Set<String> added = new HashSet<>(members);
+        added.removeAll(mMembers);
+        mMembers = Set.copyOf(members);
+        if (!added.isEmpty()) {
+            mInitialFrames.get().forEach(frame -> send(added, frame));
+        }
+    }
+
+    /** Returns the addresses of the members that are connected. */
+    Set<String> connectedMembers() {
+        return mMembers.stream()
+                .filter(member -> mClients.get(member).connection().isPresent())
+                .collect(Collectors.toSet());
     }
 
     /** Sends a frame to all connected members. */
     void broadcast(Frame.Builder frame) {
-        sendToAll(frame.build());
+        send(mMembers, frame);
+    }
+
+    /** Sends a frame to all connected members and other processes of control. */
+    void sendToAll(Frame.Builder frame) {
+        send(mClients.keySet(), frame);
     }
 
     /** Asks all members to add this one to the group; only the leader acts on it. */
@@ -60,7 +103,7 @@
                         .setAddress(address)
                         .setFirstStart(isFirstStart)
                         .build();
-        sendToAll(Frame.newBuilder().setJoinRequest(request).build());
+        sendToAll(Frame.newBuilder().setJoinRequest(request));
     }
 
     @Override
@@ -69,12 +112,13 @@
         mClients.clear();
     }
 
-    private void sendToAll(Frame frame) {
-        mClients.values().stream()
+    private void send(Set<String> addresses, Frame.Builder frame) {
+        addresses.stream()
+                .map(mClients::get)
                 .map(WireClient::connection)
                 .flatMap(Optional::stream)
                 .filter(WireConnection::isWritable)
-                .forEach(connection -> connection.send(0, frame.toBuilder()));
+                .forEach(connection -> connection.send(0, frame.clone()));
     }
 
     private WireClient connect(String addressText) {
@@ -82,24 +126,31 @@
         return WireClient.connect(
                 mContext,
                 new InetSocketAddress(address.host(), address.port()),
-                new InitialSender());
+                new Peer(addressText));
     }
 
     /** Sends everything on a new connection, and monitors the connection for silence. */
-    private final class InitialSender implements FrameHandler {
+    private final class Peer implements FrameHandler {
+        private final String mAddress;
+
+        Peer(String address) {
+            mAddress = address;
+        }
+
         @Override
         public void received(WireConnection connection, Frame frame) {
-            // Members send no replies on this connection.
+            mControlThread.execute(() -> mReceiver.accept(connection, frame));
         }
 
         @Override
         public void opened(WireConnection connection) {
             connection.watch();
             mControlThread.execute(
-                    () ->
-                            mInitialFrames
-                                    .get()
-                                    .forEach(frame -> connection.send(0, frame.toBuilder())));
+                    () -> {
+                        if (mMembers.contains(mAddress)) {
+                            mInitialFrames.get().forEach(frame -> connection.send(0, frame));
+                        }
+                    });
         }
     }
 }
--- a/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/FleetFollower.java
@@ -121,7 +121,9 @@
                                                                 .setEngineNotices(notices))));
     }
 
-    /** Returns the addresses of the members that this follower keeps connections to; any thread. */
+    /**
+     * Returns the addresses of the known members, or of the seeds while none is known; any thread.
+     */
     public Set<String> members() {
         return mMembers.keySet();
     }
@@ -166,8 +168,13 @@
         wanted.addAll(mKnownMembers.addresses());
         mClients.entrySet().removeIf(client -> closeUnless(wanted, client));
         wanted.forEach(address -> mClients.computeIfAbsent(address, this::open));
-        if (!mMembers.equals(mClients)) {
-            mMembers = Map.copyOf(mClients);
+        Map<String, WireClient> members = new HashMap<>(mClients);
+        if (!mKnownMembers.addresses().isEmpty()) {
+            // Processes without a log answer no requests.
+            members.keySet().retainAll(mKnownMembers.addresses());
+        }
+        if (!mMembers.equals(members)) {
+            mMembers = Map.copyOf(members);
         }
     }
 
@@ -286,10 +293,17 @@
 
         @Override
         public void answered(Frame frame) {
+            mControlThread.execute(() -> take(frame));
+        }
+
+        private void take(Frame frame) {
             if (frame.hasEngineNotices()) {
-                mControlThread.execute(() -> mEngineListener.accept(frame.getEngineNotices()));
+                mEngineListener.accept(frame.getEngineNotices());
+            } else if (frame.hasMemberNotice()) {
+                takeMembers(MemberList.of(frame.getMemberNotice()));
+                connect();
             } else {
-                mControlThread.execute(() -> updated(mConnection, frame.getFleetUpdate()));
+                updated(mConnection, frame.getFleetUpdate());
             }
         }
 
--- a/fleet/src/main/java/org/ibisstand/fleet/MemberList.java
+++ b/fleet/src/main/java/org/ibisstand/fleet/MemberList.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.Set;
 import org.ibisstand.wire.message.FleetUpdate;
+import org.ibisstand.wire.message.Frame;
+import org.ibisstand.wire.message.MemberNotice;
 
 /**
  * The members of control as one process knows them; never changes.
@@ -36,6 +38,21 @@
         return term > other.term || (term == other.term && index > other.index);
     }
 
+    /** Returns the list that a notice tells of. */
+    public static MemberList of(MemberNotice notice) {
+        return of(notice.getMembersList(), notice.getTerm(), notice.getIndex());
+    }
+
+    /** Returns a notice that tells of this list. */
+    public Frame.Builder toFrame() {
+        return Frame.newBuilder()
+                .setMemberNotice(
+                        MemberNotice.newBuilder()
+                                .addAllMembers(addresses)
+                                .setTerm(term)
+                                .setIndex(index));
+    }
+
     static MemberList of(FleetUpdate update) {
         return of(update.getMembersList(), update.getMembersTerm(), update.getMembersIndex());
     }
