Give the vote of a member back before its planned stop

Cause: a member that got SIGTERM ended with its vote. With one replacement there was still a time of 2 to 3 s, until the silence was noticed, in which a lost disk took the majority.

Change: a member that stops tells the others, and the leader takes its vote if the group has voters to spare, or after a ready learner has got one. The process ends once the leader says so, after two seconds at the latest. A leader removes itself in the same way. A member that the group needs keeps its vote and ends at once, so restarts are as before. The search of small groups stops members as planned, too.

--- a/consensus/src/main/java/org/ibisstand/consensus/VoterPolicy.java
+++ b/consensus/src/main/java/org/ibisstand/consensus/VoterPolicy.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -16,7 +17,8 @@
  * {@link Membership#minimumVoters()} voters: a learner that is ready gets its vote first, and then
  * the voter that it replaces is removed. Above that number each voter that is gone costs the group
  * one of the losses that it tolerates, so those that do not answer are removed, one at a time. A
- * removed member that answers again asks to be added and returns as a learner.
+ * member that is about to stop says so, and loses its vote in the same way while it still answers.
+ * A removed member that answers again asks to be added and returns as a learner.
  */
 public final class VoterPolicy {
     /** Learners beyond the voters: one that follows as a standby and one that takes a place. */
@@ -41,30 +43,57 @@
      * Returns the change that a leader starts next, if one is due.
      *
      * @param status the status of the leader
+     * @param departing the members that are about to stop
      */
-    public Optional<MembershipChange> nextChange(MemberStatus status) {
+    public Optional<MembershipChange> nextChange(
+            MemberStatus status, Set<MemberIdentifier> departing) {
         Membership membership = status.membership();
-        Optional<MemberIdentifier> learner = findReadyLearner(status);
+        Optional<MemberIdentifier> learner = findReadyLearner(status, departing);
         Optional<MemberIdentifier> lost = findLostMember(status);
-        Optional<MemberIdentifier> silent = findSilentVoter(status);
+        Optional<MemberIdentifier> leaving =
+                findDepartingVoter(status, departing).or(() -> findSilentVoter(status));
         int voters = membership.voters().size();
         if (lost.isPresent()) {
             return lost.map(MembershipChange.Remove::new);
         }
-        if (silent.isPresent() && voters > membership.minimumVoters()) {
-            return silent.map(MembershipChange.Remove::new);
+        if (leaving.isPresent() && voters > membership.minimumVoters()) {
+            return leaving.map(MembershipChange.Remove::new);
         }
         boolean hasRoom = voters < Membership.MAXIMUM_VOTERS;
         // An exchange needs room for one more voter until the other one is removed.
-        boolean mayExchange = silent.isPresent() && voters == Membership.MAXIMUM_VOTERS;
+        boolean mayExchange = leaving.isPresent() && voters == Membership.MAXIMUM_VOTERS;
         return learner.filter(unused -> hasRoom || mayExchange)
                 .<MembershipChange>map(MembershipChange.Promote::new)
                 .or(() -> findSilentLearner(status).map(MembershipChange.Remove::new));
     }
 
+    /**
+     * Returns whether a member that is about to stop can give back a vote: it has one, and the
+     * group has voters to spare or a learner that may take the vote.
+     *
+     * @param membership the present members
+     * @param member the member that is about to stop
+     */
+    public boolean mayDepart(Membership membership, MemberIdentifier member) {
+        int voters = membership.voters().size();
+        return mRemovalSilence.isPresent()
+                && membership.isVoter(member)
+                && (voters > membership.minimumVoters() || voters < membership.members().size());
+    }
+
     /** Returns a learner that follows closely and answers. */
-    private Optional<MemberIdentifier> findReadyLearner(MemberStatus status) {
-        return learners(status).filter(learner -> isReady(learner, status)).findFirst();
+    private Optional<MemberIdentifier> findReadyLearner(
+            MemberStatus status, Set<MemberIdentifier> departing) {
+        return learners(status)
+                .filter(learner -> isReady(learner, status) && !departing.contains(learner))
+                .findFirst();
+    }
+
+    private Optional<MemberIdentifier> findDepartingVoter(
+            MemberStatus status, Set<MemberIdentifier> departing) {
+        return status.membership().voters().stream()
+                .filter(voter -> mRemovalSilence.isPresent() && departing.contains(voter))
+                .findFirst();
     }
 
     /** Returns a member whose disk was lost: a ready learner has its name and another disk. */
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySearchTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySearchTest.java
@@ -21,12 +21,13 @@
 /**
  * Guards against a group that can never form a majority again although it lost no more disks than
  * it tolerates. Searches small groups exhaustively: every order of machines that go dark, return,
- * lose their disks and are replaced, between any two steps of the policy, which may learn of a
- * silence early, late or never.
+ * lose their disks, are replaced and are stopped as planned, between any two steps of the policy,
+ * which may learn of a silence early, late or never.
  *
  * <p>A lost disk counts against the tolerated losses until its machine has its vote again. A
  * machine that is gone for good counts until the group is whole without it, since nothing
- * distinguishes it before from one that will return.
+ * distinguishes it before from one that will return. One that is stopped as planned counts for
+ * nothing if the group is whole without it.
  */
 class VoterPolicySearchTest {
     private static final Duration CONTACT_TIMEOUT = Duration.ofMillis(800);
@@ -82,6 +83,10 @@
             return new Machine(Power.GONE, role, lostVotes, true);
         }
 
+        Machine departed(Power changed) {
+            return new Machine(changed, Role.OUTSIDE, lostVotes, countsAsLost);
+        }
+
         Machine withRole(Role changed) {
             return new Machine(power, changed, lostVotes, countsAsLost);
         }
@@ -224,8 +229,29 @@
         silences(group, 0)
                 .forEach(
                         silences ->
-                                POLICY.nextChange(status(group, silences))
+                                POLICY.nextChange(status(group, silences), Set.of())
                                         .ifPresent(change -> next.add(applied(group, change))));
+        for (int index = 0; index < group.machines().size(); index++) {
+            addDeparture(group, index, next);
+        }
+    }
+
+    /** Adds a planned stop of a machine that gives its vote back, to restart or for good. */
+    private static void addDeparture(Group group, int index, Set<Group> next) {
+        Optional<MembershipChange> removal =
+                Optional.of(new MembershipChange.Remove(present(index)));
+        if (!group.machines().get(index).isVoting()
+                || !POLICY.nextChange(status(group, Map.of()), Set.of(present(index)))
+                        .equals(removal)) {
+            return;
+        }
+        if (group.with(index, machine -> machine.departed(Power.UP)).hasMajority()) {
+            next.add(group.with(index, machine -> machine.departed(Power.DARK)));
+            Group replaced = group.with(index, machine -> machine.departed(Power.GONE));
+            if (replaced.isWhole()) {
+                next.add(replaced);
+            }
+        }
     }
 
     private static Group applied(Group group, MembershipChange change) {
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySoakTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicySoakTest.java
@@ -230,7 +230,7 @@
     private void step() {
         mCluster.runFor(STEP_MILLIS);
         for (SimulatedMember leader : leaders()) {
-            mPolicy.nextChange(leader.mConsensus.status())
+            mPolicy.nextChange(leader.mConsensus.status(), Set.of())
                     .ifPresent(
                             change -> {
                                 trace(leader.mIdentifier + " asks for " + change);
--- a/consensus/src/test/java/org/ibisstand/consensus/VoterPolicyTest.java
+++ b/consensus/src/test/java/org/ibisstand/consensus/VoterPolicyTest.java
@@ -29,6 +29,7 @@
             new VoterPolicy(CONTACT_TIMEOUT, Optional.of(REMOVAL_SILENCE));
     private final List<Member> mMembers = new ArrayList<>();
     private final Set<String> mEstablished = new HashSet<>();
+    private final Set<MemberIdentifier> mDeparting = new HashSet<>();
     private final Set<MemberIdentifier> mCaughtUp = new HashSet<>();
     private final Map<MemberIdentifier, Duration> mSilences = new HashMap<>();
 
@@ -147,6 +148,35 @@
                 .containsExactly("voter-1.1", "successor.1", "successor.2");
     }
 
+    /** Guards against the time in which a voter that was stopped as planned counts as one. */
+    @Test
+    void aVoterThatIsAboutToStopGoesAtOnceIfItsSuccessorIsThere() {
+        addVoters(3);
+        MemberIdentifier departing = mMembers.get(1).identifier();
+        mDeparting.add(departing);
+        assertThat(nextChange()).isEmpty();
+        assertThat(mPolicy.mayDepart(status().membership(), departing)).isFalse();
+
+        MemberIdentifier successor = add("successor.1", false);
+        assertThat(mPolicy.mayDepart(status().membership(), departing)).isTrue();
+        assertThat(nextChange()).hasValue(new MembershipChange.Promote(successor));
+
+        promote(successor);
+        assertThat(nextChange()).hasValue(new MembershipChange.Remove(departing));
+
+        remove(departing);
+        assertThat(nextChange()).isEmpty();
+        assertThat(mPolicy.mayDepart(status().membership(), departing)).isFalse();
+    }
+
+    @Test
+    void aLearnerThatIsAboutToStopGetsNoVote() {
+        addVoters(3);
+        mDeparting.add(add("learner.1", false));
+
+        assertThat(nextChange()).isEmpty();
+    }
+
     @Test
     void aGroupOfAnEarlierReleaseKeepsAnOddNumberOfVoters() {
         addVoters(4);
@@ -185,9 +215,10 @@
         VoterPolicy policy =
                 operatorOnly ? new VoterPolicy(CONTACT_TIMEOUT, Optional.empty()) : mPolicy;
 
-        assertThat(policy.nextChange(status())).hasValue(new MembershipChange.Remove(lost));
+        assertThat(policy.nextChange(status(), Set.of()))
+                .hasValue(new MembershipChange.Remove(lost));
         mCaughtUp.remove(successor);
-        assertThat(policy.nextChange(status())).isEmpty();
+        assertThat(policy.nextChange(status(), Set.of())).isEmpty();
     }
 
     /** Guards against a returning member that takes the place of a silent one instead. */
@@ -209,7 +240,9 @@
         mSilences.put(addVoters(4), Duration.ofHours(1));
         MemberIdentifier learner = add("learner.1", false);
 
-        assertThat(new VoterPolicy(CONTACT_TIMEOUT, Optional.empty()).nextChange(status()))
+        assertThat(
+                        new VoterPolicy(CONTACT_TIMEOUT, Optional.empty())
+                                .nextChange(status(), Set.of()))
                 .hasValue(new MembershipChange.Promote(learner));
     }
 
@@ -262,7 +295,7 @@
     }
 
     private Optional<MembershipChange> nextChange() {
-        return mPolicy.nextChange(status());
+        return mPolicy.nextChange(status(), mDeparting);
     }
 
     private MemberStatus status() {
--- a/control/src/main/java/org/ibisstand/control/ControlDaemon.java
+++ b/control/src/main/java/org/ibisstand/control/ControlDaemon.java
@@ -19,6 +19,7 @@
 import org.ibisstand.administration.AdministrationRoutes;
 import org.ibisstand.administration.AdministrationServer;
 import org.ibisstand.base.BootIdentifier;
+import org.ibisstand.base.Daemon;
 import org.ibisstand.base.IbisstandException;
 import org.ibisstand.base.LogLine;
 import org.ibisstand.base.MonotonicClock;
@@ -33,7 +34,7 @@
 import org.tinylog.Logger;
 
 /** A running control member with its log, its agent registry and its network servers. */
-public final class ControlDaemon implements AutoCloseable {
+public final class ControlDaemon implements Daemon {
     private static final int EVENT_LOOPS = 2;
     private static final long TICK_INTERVAL_MILLISECONDS = 100;
     private static final long STATUS_INTERVAL_MILLISECONDS = 500;
@@ -297,6 +298,12 @@
         }
     }
 
+    @Override
+    public CompletableFuture<Void> stop() {
+        mStopping = true;
+        return mComponents.fleet().depart();
+    }
+
     /** Stops listening, stops the log and closes all connections. */
     @Override
     public void close() {
--- a/control/src/main/java/org/ibisstand/control/FleetControl.java
+++ b/control/src/main/java/org/ibisstand/control/FleetControl.java
@@ -61,6 +61,7 @@
     private final Set<String> mLoadingEngines = new HashSet<>();
     private final Set<String> mJoiningMembers = new HashSet<>();
     private Instant mNextJoinTime;
+    private boolean mIsDeparting;
     private Instant mNextNoticeTime = Instant.MIN;
     private long mLoggedRoutingVersion;
     private volatile Optional<String> mLeaderAddress = Optional.empty();
@@ -192,6 +193,15 @@
         mControlThread.execute(() -> mMembers.follow(seeds));
     }
 
+    /** Asks for no place in the group any more, and gives back the vote of this member. */
+    CompletableFuture<Void> depart() {
+        return callOnControlThread(
+                () -> {
+                    mIsDeparting = true;
+                    return mLog.depart();
+                });
+    }
+
     /** Returns the wire address of the leader while this member knows one. */
     public Optional<String> leaderAddress() {
         return mLeaderAddress;
@@ -285,7 +295,7 @@
         mLeaderAddress = status.leads() ? Optional.of(mAddress) : status.leaderAddress();
         mMembers.tick();
         mDirectory.tick(now);
-        if (mayBeOutsideGroup(status) && !now.isBefore(mNextJoinTime)) {
+        if (!mIsDeparting && mayBeOutsideGroup(status) && !now.isBefore(mNextJoinTime)) {
             mNextJoinTime = now.plus(JOIN_INTERVAL);
             mPeers.requestJoin(mSettings.member(), mAddress, mSettings.firstStart());
         }
@@ -333,6 +343,7 @@
         ServerNotice servers =
                 ServerNotice.newBuilder().addAllServers(mDirectory.records()).build();
         return List.of(
+                mMembers.known().toFrame(),
                 Frame.newBuilder().setServerNotice(servers),
                 Frame.newBuilder().setEngineNotices(mCrashReports.notices()));
     }
--- a/control/src/main/java/org/ibisstand/control/Log.java
+++ b/control/src/main/java/org/ibisstand/control/Log.java
@@ -49,6 +49,14 @@
      */
     CompletableFuture<Void> removeMember(String name);
 
+    /**
+     * Gives back the vote of this member, which is about to stop, if the group can spare it.
+     * Completes when it has no vote, or keeps it as no other member can take its place in time.
+     */
+    default CompletableFuture<Void> depart() {
+        return CompletableFuture.completedFuture(null);
+    }
+
     /**
      * Handles a message from another member.
      *
--- a/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
+++ b/control/src/main/java/org/ibisstand/control/ReplicatedLog.java
@@ -32,6 +32,7 @@
 import org.ibisstand.consensus.Snapshot;
 import org.ibisstand.consensus.Timing;
 import org.ibisstand.consensus.VoterPolicy;
+import org.ibisstand.control.message.DepartureReply;
 import org.ibisstand.control.message.MemberPayload;
 import org.ibisstand.settings.ControlSettings;
 import org.ibisstand.storage.Disk;
@@ -67,6 +68,7 @@
     private final PendingRequests mPendingRequests = new PendingRequests();
     private final RequestBatcher mBatcher;
     private final VoterChanges mVoterChanges;
+    private final MemberDeparture mDeparture;
     private final ScheduledFuture<?> mTickTask;
     private Membership mMembership;
     private final Set<CompletableFuture<byte[]>> mOpenProposals = new HashSet<>();
@@ -105,11 +107,18 @@
                 new MemberDiscovery(
                         new GroupFormation(settings, mSelf, context.address()), mConnections);
         mBatcher = new RequestBatcher(context.controlThread(), mPendingRequests, this::step);
+        VoterPolicy voterPolicy = voterPolicy(settings.timing());
         mVoterChanges =
                 new VoterChanges(
-                        voterPolicy(settings.timing()),
+                        voterPolicy,
                         this::changeMembership,
-                        () -> mMembership.voters());
+                        () -> mMembership.voters(),
+                        context.clock());
+        mDeparture =
+                new MemberDeparture(
+                        voterPolicy,
+                        mVoterChanges,
+                        notice -> mConnections.send(notice.address(), notice.payload()));
         long tickMilliseconds = settings.timing().heartbeatMilliseconds() / TICKS_PER_HEARTBEAT;
         mTickTask =
                 context.controlThread()
@@ -245,6 +254,13 @@
                 .thenApply(result -> null);
     }
 
+    @Override
+    public CompletableFuture<Void> depart() {
+        return refusal().isPresent()
+                ? CompletableFuture.completedFuture(null)
+                : mDeparture.begin(mConsensus.status(), now());
+    }
+
     @Override
     public void received(WireConnection connection, ConsensusEnvelope envelope) {
         if (refusal().isPresent() || envelope.getMember().isEmpty()) {
@@ -260,6 +276,8 @@
             case INTRODUCTION ->
                     mDiscovery.receiveIntroduction(
                             from, payload.getIntroduction(), mConsensus.status(), now());
+            case DEPARTURE -> receiveDeparture(from, connection);
+            case DEPARTURE_REPLY -> mDeparture.receiveReply(mConsensus.status());
             case BODY_NOT_SET ->
                     throw new IbisstandException(
                             ErrorCode.FRAME_INVALID, "a member sent an empty payload");
@@ -272,6 +290,16 @@
         mStorage.close();
     }
 
+    private void receiveDeparture(MemberIdentifier from, WireConnection connection) {
+        MemberStatus status = mConsensus.status();
+        mVoterChanges.departs(from);
+        if (status.leading() && !status.membership().isVoter(from) && !mVoterChanges.isPending()) {
+            DepartureReply reply = DepartureReply.getDefaultInstance();
+            mConnections.send(
+                    connection, MemberPayload.newBuilder().setDepartureReply(reply).build());
+        }
+    }
+
     /**
      * Drops messages for other members: a member that lost its disk may have been replaced by one
      * with another identity at the same address.
@@ -308,6 +336,7 @@
             mDiscovery.findGroupToForm(status, now()).ifPresent(this::formGroup);
             mDiscovery.tickAdditions(status, now(), this::changeMembership);
             mVoterChanges.tick(status);
+            mDeparture.tick(status, now());
         }
     }
 
@@ -426,6 +455,7 @@
         mPendingRequests.failAll(failure);
         mBatcher.failReads(failure);
         mDiscovery.failAdditions(failure);
+        mDeparture.stop();
         mConnections.close();
     }
 
--- a/control/src/main/java/org/ibisstand/control/VoterChanges.java
+++ b/control/src/main/java/org/ibisstand/control/VoterChanges.java
@@ -1,5 +1,10 @@
 package org.ibisstand.control;
 
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -16,9 +21,14 @@
  * thread.
  */
 final class VoterChanges {
+    /** A member that stops repeats its notice with each tick of its log. */
+    private static final Duration DEPARTURE_VALIDITY = Duration.ofSeconds(1);
+
     private final VoterPolicy mPolicy;
     private final Function<MembershipChange, CompletableFuture<byte[]>> mChangeMembership;
     private final Supplier<Set<MemberIdentifier>> mVoters;
+    private final Clock mClock;
+    private final Map<MemberIdentifier, Instant> mDepartures = new HashMap<>();
     private Optional<MembershipChange> mPending = Optional.empty();
     private Optional<MembershipChange> mRefused = Optional.empty();
 
@@ -28,14 +38,27 @@
      * @param policy decides about them
      * @param changeMembership starts a change of the members
      * @param voters returns the present voters, for the log
+     * @param clock the time source, which must not jump
      */
     VoterChanges(
             VoterPolicy policy,
             Function<MembershipChange, CompletableFuture<byte[]>> changeMembership,
-            Supplier<Set<MemberIdentifier>> voters) {
+            Supplier<Set<MemberIdentifier>> voters,
+            Clock clock) {
         mPolicy = policy;
         mChangeMembership = changeMembership;
         mVoters = voters;
+        mClock = clock;
+    }
+
+    /** Notes that a member is about to stop. */
+    void departs(MemberIdentifier member) {
+        mDepartures.put(member, mClock.instant());
+    }
+
+    /** Returns whether a change was started that is not committed yet. */
+    boolean isPending() {
+        return mPending.isPresent();
     }
 
     /** Starts the next change if this member leads and one is due. */
@@ -43,7 +66,9 @@
         if (!status.leading() || mPending.isPresent()) {
             return;
         }
-        mPending = mPolicy.nextChange(status);
+        Instant now = mClock.instant();
+        mDepartures.values().removeIf(heard -> heard.plus(DEPARTURE_VALIDITY).isBefore(now));
+        mPending = mPolicy.nextChange(status, Set.copyOf(mDepartures.keySet()));
         mPending.ifPresent(
                 change ->
                         mChangeMembership
--- a/control/src/test/java/org/ibisstand/control/ControlGroup.java
+++ b/control/src/test/java/org/ibisstand/control/ControlGroup.java
@@ -97,6 +97,17 @@
                         settings(member, joinsGroup, isFirstStart), ReplicatedLog::open));
     }
 
+    /** Stops a member as a supervisor does, which lets it give its vote back. */
+    void terminate(int member) {
+        join(mDaemons.get(member).stop());
+        stop(member);
+    }
+
+    /** Returns whether a member leads. */
+    boolean leads(int member) {
+        return mDaemons.get(member).fleet().leaderAddress().equals(Optional.of(address(member)));
+    }
+
     void stop(int member) {
         mDaemons.remove(member).close();
     }
@@ -166,6 +177,14 @@
      * with that address is counted until it is removed.
      */
     long countVotersAt(ControlDaemon daemon, String address) {
+        return Pattern.compile("\\{[^{}]*\\Q" + address + "\\E[^{}]*\"voter\":true[^{}]*}")
+                .matcher(membersAt(daemon))
+                .results()
+                .count();
+    }
+
+    /** Returns the members as the administration API of one of them lists them. */
+    private String membersAt(ControlDaemon daemon) {
         URI uri =
                 URI.create(
                         "http://"
@@ -175,11 +194,9 @@
                                 + "/members");
         HttpRequest request =
                 HttpRequest.newBuilder(uri).header("Authorization", "Bearer token").build();
-        String body = join(mHttp.sendAsync(request, HttpResponse.BodyHandlers.ofString())).body();
-        return Pattern.compile("\\{[^{}]*\\Q" + address + "\\E[^{}]*\"voter\":true[^{}]*}")
-                .matcher(body.replace(" ", ""))
-                .results()
-                .count();
+        return join(mHttp.sendAsync(request, HttpResponse.BodyHandlers.ofString()))
+                .body()
+                .replace(" ", "");
     }
 
     private String hostOf(ControlDaemon daemon) {
--- a/control/src/test/java/org/ibisstand/control/FleetControlTest.java
+++ b/control/src/test/java/org/ibisstand/control/FleetControlTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.ibisstand.base.ErrorCode;
 import org.ibisstand.wire.message.ServerRecord;
@@ -13,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs real control members with logs on disk, each at its own loopback address. */
@@ -129,6 +132,50 @@
                 .isEqualTo(new String(ControlGroup.ROUTING_SOURCE, StandardCharsets.UTF_8));
     }
 
+    /**
+     * Guards against members that were replaced as planned and keep their votes, so that the next
+     * lost disk takes the majority, right after the last stop or at any later time.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, true", "1, false", "2, true", "2, false"})
+    void aLostDiskIsBorneRightAfterPlannedReplacements(int replaced, boolean beginsWithLeader)
+            throws IOException {
+        mGroup.startAll();
+        for (int member = 0; member < replaced; member++) {
+            int successor = ControlGroup.FIRST_MEMBER_COUNT + member;
+            mGroup.start(successor, true);
+            ControlGroup.awaitTrue(() -> mGroup.isVoter(successor));
+        }
+        mGroup.putRouting(7);
+        List<Integer> leaving = new ArrayList<>(List.of(0, 1, 2));
+        leaving.sort(Comparator.comparing(member -> mGroup.leads(member) != beginsWithLeader));
+        int lost = leaving.removeLast();
+        leaving.subList(0, replaced).forEach(mGroup::terminate);
+
+        mGroup.stop(lost);
+        mGroup.deleteFolder(lost);
+        mGroup.start(lost, true);
+
+        assertThat(mGroup.readRouting())
+                .isEqualTo(new String(ControlGroup.ROUTING_SOURCE, StandardCharsets.UTF_8));
+    }
+
+    /** Guards against a stop that waits, or gives up a vote that the group needs. */
+    @Test
+    void aMemberThatTheGroupNeedsKeepsItsVoteWhenItStops() {
+        mGroup.startAll();
+        mGroup.putRouting(7);
+        for (int member = 0; member < ControlGroup.FIRST_MEMBER_COUNT; member++) {
+            mGroup.terminate(member);
+            mGroup.start(member, false);
+            int restarted = member;
+            ControlGroup.awaitTrue(
+                    () -> mGroup.daemon(restarted).fleet().leaderAddress().isPresent());
+            assertThat(mGroup.isVoter(member)).isTrue();
+        }
+        assertThat(mGroup.votersAt(0)).isEqualTo(ControlGroup.FIRST_MEMBER_COUNT);
+    }
+
     /** Guards against a returning member that takes the votes of two others that are away. */
     @Test
     void aGroupOfSixBearsTwoLostDisksAfterThreeMembersWereAway() throws IOException {
