Wait for the vote of the new disk, not for that of the lost one

FleetControlTest#aMemberThatLostItsDiskJoinsTheGroupAgain waited until another member counted one voter at the address of the restarted one. The vote of the lost disk counts there until the new one replaces it, so the wait could end at once, and the test then stopped a second member of three. It now asks the restarted member whether it is still a learner, which is as strict for the group and waits for the right vote.

--- a/control/src/test/java/org/ibisstand/control/ControlGroup.java
+++ b/control/src/test/java/org/ibisstand/control/ControlGroup.java
@@ -154,10 +154,12 @@
         return documents.getFirst();
     }
 
+    /**
+     * Returns whether a member that lost its disk has a vote. It asks the member itself, as the
+     * others count the vote of the lost disk until then.
+     */
     boolean isVoterAgain(int member) {
-        return mDaemons.entrySet().stream()
-                .filter(entry -> entry.getKey() != member)
-                .anyMatch(entry -> countVotersAt(entry.getValue(), address(member)) == 1);
+        return !membersAt(mDaemons.get(member)).contains("\"role\":\"LEARNER\"");
     }
 
     /** Returns whether all running members count the member as a voter. */
