Let a departure outlast an election

A leader that loses its disk while another member stops as planned leaves the group to an election, which may take longer than the two seconds that the member waited. It would have ended with its vote, and a group of four with a lost and a gone voter has no majority. It now waits for five seconds at most.

--- a/control/src/main/java/org/ibisstand/control/MemberDeparture.java
+++ b/control/src/main/java/org/ibisstand/control/MemberDeparture.java
@@ -18,8 +18,8 @@
  * member that may never return; used on the control thread.
  */
 final class MemberDeparture {
-    /** The supervisor ends a process that does not stop in time. */
-    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    /** Outlasts elections after a loss of the leader; supervisors allow several seconds to stop. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private final VoterPolicy mPolicy;
     private final VoterChanges mVoterChanges;
--- a/control/src/test/java/org/ibisstand/control/FleetControlTest.java
+++ b/control/src/test/java/org/ibisstand/control/FleetControlTest.java
@@ -160,6 +160,28 @@
                 .isEqualTo(new String(ControlGroup.ROUTING_SOURCE, StandardCharsets.UTF_8));
     }
 
+    /** Guards against a member that ends before a new leader could take its vote. */
+    @Test
+    void aLostDiskOfTheLeaderIsBorneDuringAPlannedStop() throws IOException {
+        mGroup.startAll();
+        int successor = ControlGroup.FIRST_MEMBER_COUNT;
+        mGroup.start(successor, true);
+        ControlGroup.awaitTrue(() -> mGroup.isVoter(successor));
+        mGroup.putRouting(7);
+        List<Integer> members = new ArrayList<>(List.of(0, 1, 2, successor));
+        members.sort(Comparator.comparing(member -> !mGroup.leads(member)));
+        int leader = members.getFirst();
+        int leaving = members.getLast() == successor ? members.get(1) : members.getLast();
+
+        mGroup.stop(leader);
+        mGroup.deleteFolder(leader);
+        mGroup.terminate(leaving);
+        mGroup.start(leader, true);
+
+        assertThat(mGroup.readRouting())
+                .isEqualTo(new String(ControlGroup.ROUTING_SOURCE, StandardCharsets.UTF_8));
+    }
+
     /** Guards against a stop that waits, or gives up a vote that the group needs. */
     @Test
     void aMemberThatTheGroupNeedsKeepsItsVoteWhenItStops() {
