Serve the member directory only once it can answer

Peers that lost the process call again as soon as its port is open. A frame that came before the constructor was done would have found no list and been lost, and a follower would have waited for its next connection. The server now starts last, and watchers are told of a list as it comes.

--- a/control/src/main/java/org/ibisstand/control/MemberDirectory.java
+++ b/control/src/main/java/org/ibisstand/control/MemberDirectory.java
@@ -49,16 +49,12 @@
             Collection<String> seeds) {
         mControlThread = controlThread;
         mPeers = new FleetPeers(wire, controlThread, List::of, this::receive);
+        mMembers =
+                new MemberExchange(mPeers, () -> MemberList.NONE, listen.toString(), seeds, clock);
+        // Peers that lost this process call again at once, so the server comes last.
         mServer =
                 WireServer.start(
                         wire, new InetSocketAddress(listen.host(), listen.port()), new Requests());
-        mMembers =
-                new MemberExchange(
-                        mPeers,
-                        () -> MemberList.NONE,
-                        new Address(listen.host(), mServer.port()).toString(),
-                        seeds,
-                        clock);
         mTicks =
                 controlThread.scheduleWithFixedDelay(
                         LoggedTask.of("tell_members", this::tick),
@@ -100,11 +96,6 @@
         mControlThread.execute(() -> mMembers.follow(seeds));
     }
 
-    /** Returns the port for connections of other processes. */
-    public int port() {
-        return mServer.port();
-    }
-
     /**
      * Returns the wire addresses of the members that can be reached, or of all known ones if none
      * can; may be called on any thread.
@@ -122,7 +113,10 @@
 
     private void receive(WireConnection connection, Frame frame) {
         switch (frame.getBodyCase()) {
-            case MEMBER_NOTICE -> mMembers.receive(connection, frame.getMemberNotice());
+            case MEMBER_NOTICE -> {
+                mMembers.receive(connection, frame.getMemberNotice());
+                tellWatchers();
+            }
             case FLEET_WATCH -> {
                 mWatchers.put(connection, new Watcher(frame.getCorrelation(), Set.of()));
                 tellWatchers();
