--- a/control/src/main/java/org/ibisstand/control/FleetPeers.java
+++ b/control/src/main/java/org/ibisstand/control/FleetPeers.java
@@ -20,9 +20,10 @@
 import org.ibisstand.wire.message.JoinRequest;
 
 /**
- * Forwards the announcements of backend servers and the crash reports that this member received to
- * the other members; used on the control thread. A new connection first gets everything, so that a
- * restarted member knows all servers immediately.
+ * Connections to the other members, and to processes of control that may be none; used on the
+ * control thread. Members get the announcements of backend servers and the crash reports that this
+ * one received; a new connection first gets everything, so that a restarted member knows all
+ * servers immediately.
  */
 final class FleetPeers implements AutoCloseable {
     private final WireContext mContext;
