Send the extra bytes of a stand-in together with its response

Cause: the stand-in wrote its extra response by itself, a moment after the first one. If the gateway used the connection again in between, the bytes looked like a response to the second request, as both requests of the test have the same identifier, which requests of callers never have.

The check is the same, and late copies under other identifiers have tests of their own.

--- a/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/GatewayDaemonTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.ibisstand.gateway.ScriptedServer.completeResponse;
+import static org.ibisstand.gateway.ScriptedServer.completeText;
 import static org.ibisstand.gateway.ScriptedServer.write;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -183,12 +184,12 @@
     void bytesAfterAResponseAreNotUsedForTheNextRequest() throws IOException {
         startServers(
                 Repetition.ONCE,
-                (request, identifier, connection) -> {
-                    completeResponse(200, SIGNATURE_HEADER, "mine")
-                            .respond(request, identifier, connection);
-                    completeResponse(200, SIGNATURE_HEADER, "extra")
-                            .respond(request, identifier, connection);
-                });
+                (request, identifier, connection) ->
+                        write(
+                                connection,
+                                completeText(200, SIGNATURE_HEADER, "mine", identifier)
+                                        + completeText(
+                                                200, SIGNATURE_HEADER, "extra", identifier)));
 
         assertThat(sendRequest("POST", "/p/", "", "sent")).endsWith("mine");
         assertThat(sendRequest("POST", "/p/", "", "sent")).endsWith("mine");
--- a/gateway/src/test/java/org/ibisstand/gateway/ScriptedServer.java
+++ b/gateway/src/test/java/org/ibisstand/gateway/ScriptedServer.java
@@ -61,18 +61,20 @@
     /** Returns a script that sends a status, headers and a body with its length. */
     static Script completeResponse(int status, String headers, String body) {
         return (request, identifier, connection) ->
-                write(
-                        connection,
-                        "HTTP/1.1 "
-                                + status
-                                + " X\r\nx-request: "
-                                + identifier
-                                + "\r\n"
-                                + headers
-                                + "Content-Length: "
-                                + body.length()
-                                + "\r\n\r\n"
-                                + body);
+                write(connection, completeText(status, headers, body, identifier));
+    }
+
+    static String completeText(int status, String headers, String body, String identifier) {
+        return "HTTP/1.1 "
+                + status
+                + " X\r\nx-request: "
+                + identifier
+                + "\r\n"
+                + headers
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
     }
 
     static void write(Socket connection, String text) throws IOException {
