--- a/control/src/test/java/org/ibisstand/control/ControlGroup.java
+++ b/control/src/test/java/org/ibisstand/control/ControlGroup.java
@@ -48,7 +48,9 @@
     private static final Set<Integer> FIRST_MEMBERS = Set.of(0, 1, 2);
     private static final byte[] ROUTING_JSON = bytes("{\"product\":1}");
 
-    private final String mAddressPrefix = "127." + (2 + new Random().nextInt(250)) + ".7.";
+    /** Drawn from so many that groups of test runs side by side do not meet. */
+    private final String mAddressPrefix = drawNetwork(new Random());
+
     private final HttpClient mHttp = HttpClient.newHttpClient();
     private final Map<Integer, ControlDaemon> mDaemons = new HashMap<>();
     private final Path mFolder;
@@ -58,6 +60,10 @@
         mFolder = folder;
     }
 
+    private static String drawNetwork(Random random) {
+        return "127." + (2 + random.nextInt(250)) + "." + random.nextInt(250) + ".";
+    }
+
     @Override
     public void close() {
         mDaemons.values().forEach(ControlDaemon::close);
